--- /dev/null
+++ b/pkg/admitter/kind_queue.go
@@ -0,0 +1,65 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// paceWeight is the weight of the newest interval in the moving average.
+	paceWeight = 0.1
+	// paceSamples is how many departures the average needs before it is used.
+	paceSamples = 8
+)
+
+// kindQueue holds the waiting requests of one kind in order of acceptance.
+type kindQueue struct {
+	rule     Rule
+	items    []Item
+	inFlight int
+
+	// interval is the average time between two departures while others wait.
+	interval   time.Duration
+	samples    int
+	lastDepart time.Time
+}
+
+// push inserts an item in its turn, which matters for a request that returns.
+func (q *kindQueue) push(now time.Time, item Item) {
+	if len(q.items) == 0 {
+		q.lastDepart = now
+	}
+	at := len(q.items)
+	for at > 0 && q.items[at-1].AcceptedAt.After(item.AcceptedAt) {
+		at--
+	}
+	q.items = slices.Insert(q.items, at, item)
+}
+
+// pop removes the first item and learns the pace of departures.
+func (q *kindQueue) pop(now time.Time) Item {
+	item := q.items[0]
+	q.items[0] = Item{}
+	q.items = q.items[1:]
+	gap := now.Sub(q.lastDepart)
+	q.lastDepart = now
+	q.samples++
+	if q.samples == 1 {
+		q.interval = gap
+		return item
+	}
+	q.interval += time.Duration(paceWeight * float64(gap-q.interval))
+	return item
+}
+
+// wait estimates how long an item pushed now would wait.
+func (q *kindQueue) wait(now time.Time) time.Duration {
+	if q.samples < paceSamples || len(q.items) == 0 {
+		return 0
+	}
+	pace := q.interval
+	if stalled := now.Sub(q.lastDepart); stalled > pace {
+		pace += time.Duration(paceWeight * float64(stalled-pace))
+	}
+	return time.Duration(len(q.items)) * pace
+}
--- /dev/null
+++ b/pkg/commander/commander.go
@@ -0,0 +1,118 @@
+// Package commander is the command line: it reads the arguments, runs the
+// chosen command and turns its result into an exit code.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+)
+
+// The exit codes of every command.
+const (
+	// exitOK: all that was asked for was done.
+	exitOK = 0
+	// exitFailed: it was not done, and nothing was changed.
+	exitFailed = 1
+	// exitUsage: the arguments or a file are wrong.
+	exitUsage = 2
+	// exitConflict: someone else changed the same thing first.
+	exitConflict = 3
+	// exitUnknown: it may have been done.
+	exitUnknown = 4
+	// exitUnfinished: a process ended before all its work was finished.
+	exitUnfinished = 5
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// CodeError ends a command with a given exit code.
+type CodeError struct {
+	Code    int
+	Message string
+}
+
+// Error implements error.
+func (e *CodeError) Error() string {
+	return e.Message
+}
+
+// streams are what a command writes to.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// commandLine lists the commands.
+type commandLine struct {
+	Entry         entryCommand         `cmd:"" help:"Run an entry, which takes callers' requests and operators' edits."`
+	Agent         agentCommand         `cmd:"" help:"Run an agent, the gate beside one endpoint."`
+	Demo          demoCommand          `cmd:"" help:"Run the whole path on this instance with stand-ins, and check every answer."`
+	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file or a service document without running anything."`
+	StandIn       standInCommand       `cmd:"" help:"Run a small stand-in of an outside system, for tests."`
+	Service       serviceCommand       `cmd:"" help:"Read and edit service documents."`
+	Endpoint      endpointCommand      `cmd:"" help:"List endpoints or drain one."`
+	Status        statusCommand        `cmd:"" help:"Show the state of an entry."`
+	Audit         auditCommand         `cmd:"" help:"Show the audit trail of changes."`
+	Version       versionCommand       `cmd:"" help:"Print the version."`
+}
+
+// Run executes the command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	var cli commandLine
+	exited := -1
+	parser, err := kong.New(&cli,
+		kong.Name("bilberrywalk"),
+		kong.Description("Schedules latency-critical and batch work on shared instances."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exited = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "bilberrywalk:", err)
+		return exitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "bilberrywalk:", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err = parsed.Run(&streams{
+		out: out,
+		err: errOut,
+	})
+	return exitCode(err, errOut)
+}
+
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "bilberrywalk:", err)
+	var code *CodeError
+	if errors.As(err, &code) {
+		return code.Code
+	}
+	return exitFailed
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// Run implements the command.
+func (versionCommand) Run(s *streams) error {
+	_, err := fmt.Fprintln(s.out, "bilberrywalk", Version)
+	return err
+}
--- /dev/null
+++ b/pkg/configurer/settings.go
@@ -0,0 +1,190 @@
+// Package configurer reads and checks a process's settings.
+package configurer
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+// Settings are the settings of one process, read from a TOML file.
+type Settings struct {
+	// Address is the IP number and port on which the process listens and
+	// under which others reach it.
+	Address string `toml:"address"`
+	// FailureDomain is the failure domain of the instance.
+	FailureDomain string `toml:"failure-domain"`
+	// Join lists addresses of entries; a process announces itself to them.
+	Join []string `toml:"join"`
+	// Platform is the IP number and port of the platform's service. Entries
+	// need it; agents don't use it.
+	Platform string `toml:"platform"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `toml:"log-level"`
+	// LeaveGrace is how long a leaving process waits for work in flight.
+	LeaveGrace publisher.Duration `toml:"leave-grace"`
+	// Agent holds the settings that only an agent reads.
+	Agent AgentSettings `toml:"agent"`
+	// Entry holds the settings that only an entry reads.
+	Entry EntrySettings `toml:"entry"`
+}
+
+// AgentSettings are the settings of an agent.
+type AgentSettings struct {
+	// Service is the service that the endpoint serves.
+	Service string `toml:"service"`
+	// Endpoint is the IP number and port of the endpoint.
+	Endpoint string `toml:"endpoint"`
+}
+
+// EntrySettings are the settings of an entry.
+type EntrySettings struct {
+	// RetryRatio is how many retries each fresh request pays for: 0 to 1.
+	RetryRatio float64 `toml:"retry-ratio"`
+	// RetryBurst is the most retries that can be saved up: 0 to 1000.
+	RetryBurst float64 `toml:"retry-burst"`
+	// MaxBodyBytes bounds a request's body: 1 to 1048576.
+	MaxBodyBytes int `toml:"max-body-bytes"`
+	// Workers lists the instances whose cell this entry may own, as the
+	// platform's addresses of their workers.
+	Workers []string `toml:"workers"`
+	// Cell is the name of the cell that holds the workers.
+	Cell string `toml:"cell"`
+}
+
+// Defaults returns the settings that a file need not name.
+func Defaults() Settings {
+	return Settings{
+		LogLevel:   "info",
+		LeaveGrace: publisher.Duration(30 * time.Second),
+		Entry: EntrySettings{
+			RetryRatio:   0.1,
+			RetryBurst:   10,
+			MaxBodyBytes: 1 << 20,
+			Cell:         "cell-1",
+		},
+	}
+}
+
+// Read reads and checks a settings file.
+func Read(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "reading the settings file")
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings in TOML.
+func Parse(data []byte) (Settings, error) {
+	cfg := Defaults()
+	if err := publisher.DecodeTOML(data, &cfg); err != nil {
+		return Settings{}, err
+	}
+	return cfg, cfg.Check()
+}
+
+// Check checks every field and returns a *publisher.FieldError for the first
+// that is wrong.
+func (s *Settings) Check() error {
+	const longestGrace = time.Hour
+	for _, check := range []error{
+		checkAddress("address", s.Address),
+		publisher.CheckName("failure-domain", s.FailureDomain),
+		checkAddresses("join", s.Join),
+		checkOptionalAddress("platform", s.Platform),
+		checkLogLevel(s.LogLevel),
+		publisher.CheckRange("leave-grace", int64(s.LeaveGrace), 0, int64(longestGrace)),
+		s.Agent.check(),
+		s.Entry.check(),
+	} {
+		if check != nil {
+			return check
+		}
+	}
+	return nil
+}
+
+func (a *AgentSettings) check() error {
+	if a.Service == "" && a.Endpoint == "" {
+		return nil
+	}
+	if err := publisher.CheckName("agent.service", a.Service); err != nil {
+		return err
+	}
+	return checkAddress("agent.endpoint", a.Endpoint)
+}
+
+func (e *EntrySettings) check() error {
+	const mostBodyBytes = 1 << 20
+	const mostBurst = 1000
+	if err := checkFloat("entry.retry-ratio", e.RetryRatio, 1); err != nil {
+		return err
+	}
+	if err := checkFloat("entry.retry-burst", e.RetryBurst, mostBurst); err != nil {
+		return err
+	}
+	if err := publisher.CheckRange("entry.max-body-bytes", int64(e.MaxBodyBytes), 1, mostBodyBytes); err != nil {
+		return err
+	}
+	if err := publisher.CheckName("entry.cell", e.Cell); err != nil {
+		return err
+	}
+	return checkAddresses("entry.workers", e.Workers)
+}
+
+func checkFloat(field string, value, most float64) error {
+	if value >= 0 && value <= most {
+		return nil
+	}
+	return &publisher.FieldError{
+		Field:   field,
+		Value:   fmt.Sprint(value),
+		Allowed: fmt.Sprintf("0 to %g", most),
+	}
+}
+
+func checkLogLevel(level string) error {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return nil
+	default:
+		return &publisher.FieldError{
+			Field:   "log-level",
+			Value:   level,
+			Allowed: "debug, info, warn, error",
+		}
+	}
+}
+
+func checkAddresses(field string, addresses []string) error {
+	for i, address := range addresses {
+		if err := checkAddress(fmt.Sprintf("%s[%d]", field, i), address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkOptionalAddress(field, address string) error {
+	if address == "" {
+		return nil
+	}
+	return checkAddress(field, address)
+}
+
+func checkAddress(field, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &publisher.FieldError{
+			Field:   field,
+			Value:   address,
+			Allowed: `an IP number and a port, like "10.0.0.7:7000"`,
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/demonstrator/fleet.go
@@ -0,0 +1,160 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/forwarder"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/receiver"
+	"github.com/bilberrywalk/bilberrywalk/pkg/server"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+// Fleet is a whole system on loopback, each process a group of goroutines.
+type Fleet struct {
+	Platform  *faker.Platform
+	Endpoints []*faker.Endpoint
+	Entries   []string
+	Assert    *asserter.Asserter
+
+	log    hclog.Logger
+	framer *framer.Framer
+	group  *errgroup.Group
+	ctx    context.Context
+	seed   uint64
+}
+
+// fleetGrace is how long the fleet's processes wait for work when they leave.
+const fleetGrace = 5 * time.Second
+
+// StartFleet brings up stand-ins, three entries, and per site the given number
+// of endpoints with their agents. The processes leave when ctx is done.
+func StartFleet(ctx context.Context, group *errgroup.Group, log hclog.Logger, endpoints int) (*Fleet, error) {
+	fr, err := framer.New()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Platform: faker.NewPlatform(),
+		Assert: asserter.New(func(name string, pairs ...any) {
+			log.Error("invariant broken", append([]any{"invariant", name}, pairs...)...)
+		}),
+		log:    log,
+		framer: fr,
+		group:  group,
+		ctx:    ctx,
+	}
+	platform, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	group.Go(func() error { return server.Run(ctx, f.Platform.Server(platform)) })
+	if err := f.startEntries(platform); err != nil {
+		return nil, err
+	}
+	for _, s := range sites() {
+		for i := range endpoints {
+			if err := f.startEndpoint(s, s.domains[i%len(s.domains)]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startEntries(platform string) error {
+	const entries = 3
+	for range entries {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		f.Entries = append(f.Entries, address)
+	}
+	for i, address := range f.Entries {
+		cfg := f.settings(address, sites()[0].domains[i])
+		cfg.Platform = platform
+		client, err := storer.NewHTTPPlatform(platform)
+		if err != nil {
+			return err
+		}
+		entry := receiver.New(cfg, receiver.Dependencies{
+			Log:         f.log.Named("entry"),
+			Assert:      f.Assert,
+			Framer:      f.framer,
+			Table:       client.Table(),
+			Random:      rand.New(rand.NewPCG(f.nextSeed(), 0)),
+			Incarnation: uint64(time.Now().UnixNano()),
+		})
+		f.group.Go(func() error { return finished(entry.Run(f.ctx)) })
+	}
+	return nil
+}
+
+func (f *Fleet) startEndpoint(s site, domain string) error {
+	endpointAddress, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	agentAddress, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	endpoint := faker.NewEndpoint(s.runTimes)
+	f.Endpoints = append(f.Endpoints, endpoint)
+	cfg := f.settings(agentAddress, domain)
+	cfg.Agent = configurer.AgentSettings{
+		Service:  s.service,
+		Endpoint: endpointAddress,
+	}
+	agent := forwarder.New(cfg, f.log.Named("agent"), f.Assert, f.framer, uint64(time.Now().UnixNano()))
+	f.group.Go(func() error { return server.Run(f.ctx, endpoint.Server(endpointAddress)) })
+	f.group.Go(func() error { return finished(agent.Run(f.ctx)) })
+	return nil
+}
+
+func (f *Fleet) settings(address, domain string) configurer.Settings {
+	cfg := configurer.Defaults()
+	cfg.Address = address
+	cfg.FailureDomain = domain
+	cfg.Join = f.Entries
+	cfg.LeaveGrace = publisher.Duration(fleetGrace)
+	return cfg
+}
+
+func (f *Fleet) nextSeed() uint64 {
+	f.seed++
+	return f.seed
+}
+
+func finished(all bool, err error) error {
+	if err != nil {
+		return err
+	}
+	if !all {
+		return errors.New("a process left before its work was finished")
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "looking for a free port")
+	}
+	address := l.Addr().String()
+	return address, errors.Wrap(l.Close(), fmt.Sprintf("giving %s back", address))
+}
--- /dev/null
+++ b/pkg/faker/endpoint.go
@@ -0,0 +1,139 @@
+package faker
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	hertz "github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/server"
+)
+
+// maxEndpointBody bounds a request to the stand-in endpoint.
+const maxEndpointBody = 2 << 20
+
+// EndpointFaults are the faults that a stand-in endpoint can show.
+type EndpointFaults struct {
+	// Fail answers every request with a server error.
+	Fail bool `json:"fail"`
+	// DelayMillis is added to every request's run time.
+	DelayMillis int `json:"delay-millis"`
+}
+
+// EndpointAnswer is what a stand-in endpoint answers: it shows that the whole
+// body of the right request arrived.
+type EndpointAnswer struct {
+	RequestID string `json:"request-id"`
+	Kind      string `json:"kind"`
+	Bytes     int    `json:"bytes"`
+	Digest    string `json:"digest"`
+}
+
+// EndpointReport is what a stand-in endpoint saw since it started.
+type EndpointReport struct {
+	// Runs counts, by the body's digest, how often a request was run.
+	Runs       map[string]int `json:"runs"`
+	Running    int            `json:"running"`
+	MaxRunning int            `json:"max-running"`
+}
+
+// Endpoint is a stand-in for a runner of a user's service.
+type Endpoint struct {
+	// RunTimes is how long a request runs, by kind.
+	RunTimes map[string]time.Duration
+
+	mu     sync.Mutex
+	faults EndpointFaults
+	report EndpointReport
+}
+
+// NewEndpoint returns an endpoint with the given run times.
+func NewEndpoint(runTimes map[string]time.Duration) *Endpoint {
+	return &Endpoint{
+		RunTimes: runTimes,
+		report: EndpointReport{
+			Runs: map[string]int{},
+		},
+	}
+}
+
+// Server returns the HTTP server of the endpoint.
+func (e *Endpoint) Server(address string) *hertz.Hertz {
+	h := server.New(address, maxEndpointBody)
+	h.POST("/run", e.run)
+	h.GET("/report", func(_ context.Context, c *app.RequestContext) {
+		c.JSON(consts.StatusOK, e.Report())
+	})
+	h.POST("/faults", func(_ context.Context, c *app.RequestContext) {
+		var faults EndpointFaults
+		if err := json.Unmarshal(c.Request.Body(), &faults); err != nil {
+			server.Refuse(c, consts.StatusBadRequest, err)
+			return
+		}
+		e.SetFaults(faults)
+		c.JSON(consts.StatusOK, faults)
+	})
+	h.GET("/healthz", server.Health)
+	return h
+}
+
+// SetFaults switches faults on and off.
+func (e *Endpoint) SetFaults(f EndpointFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Report returns what the endpoint saw so far.
+func (e *Endpoint) Report() EndpointReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.report.Runs))
+	for digest, n := range e.report.Runs {
+		runs[digest] = n
+	}
+	return EndpointReport{
+		Runs:       runs,
+		Running:    e.report.Running,
+		MaxRunning: e.report.MaxRunning,
+	}
+}
+
+func (e *Endpoint) run(_ context.Context, c *app.RequestContext) {
+	sum := sha256.Sum256(c.Request.Body())
+	answer := EndpointAnswer{
+		RequestID: string(c.GetHeader("Bilberrywalk-Request-Id")),
+		Kind:      string(c.GetHeader("Bilberrywalk-Kind")),
+		Bytes:     len(c.Request.Body()),
+		Digest:    hex.EncodeToString(sum[:]),
+	}
+	faults := e.enter(answer.Digest)
+	time.Sleep(e.RunTimes[answer.Kind] + time.Duration(faults.DelayMillis)*time.Millisecond)
+	e.exit()
+	if faults.Fail {
+		c.String(consts.StatusInternalServerError, "the endpoint fails as it was told to\n")
+		return
+	}
+	c.JSON(consts.StatusOK, answer)
+}
+
+func (e *Endpoint) enter(digest string) EndpointFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report.Runs[digest]++
+	e.report.Running++
+	e.report.MaxRunning = max(e.report.MaxRunning, e.report.Running)
+	return e.faults
+}
+
+func (e *Endpoint) exit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report.Running--
+}
--- /dev/null
+++ b/pkg/forwarder/agent.go
@@ -0,0 +1,382 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/announcer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/gatekeeper"
+	"github.com/bilberrywalk/bilberrywalk/pkg/linker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/server"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	// announceInterval is the time between announcements to an entry that
+	// has no link to this agent.
+	announceInterval = time.Second
+	// idlePoll is how often a leaving agent looks whether all work is done.
+	idlePoll = 20 * time.Millisecond
+	// maxHTTPBodyBytes bounds the bodies of the few HTTP calls to an agent.
+	maxHTTPBodyBytes = 4 << 10
+)
+
+// Agent is the process beside one endpoint.
+type Agent struct {
+	cfg    configurer.Settings
+	log    hclog.Logger
+	assert *asserter.Asserter
+	framer *framer.Framer
+	hello  framer.Hello
+	loop   *looper.Loop
+	group  *errgroup.Group
+
+	leaving atomic.Bool
+
+	// The fields below belong to the control goroutine.
+	gate     *gatekeeper.Gate
+	view     *announcer.View
+	shelf    *publisher.Shelf
+	endpoint *EndpointClient
+	links    map[string]*linker.Link
+}
+
+// New returns an agent. Its incarnation must be higher than that of any
+// earlier agent at the same address.
+func New(cfg configurer.Settings, log hclog.Logger, assert *asserter.Asserter, fr *framer.Framer, incarnation uint64) *Agent {
+	a := &Agent{
+		cfg:    cfg,
+		log:    log,
+		assert: assert,
+		framer: fr,
+		hello: framer.Hello{
+			Role:          framer.RoleAgent,
+			Address:       cfg.Address,
+			FailureDomain: cfg.FailureDomain,
+			Service:       cfg.Agent.Service,
+			Incarnation:   incarnation,
+		},
+		gate:  gatekeeper.New(assert),
+		shelf: publisher.NewShelf(assert),
+		links: map[string]*linker.Link{},
+	}
+	a.view = announcer.New(framer.Member{
+		Role:          framer.RoleAgent,
+		Address:       cfg.Address,
+		FailureDomain: cfg.FailureDomain,
+		Service:       cfg.Agent.Service,
+		Incarnation:   incarnation,
+		State:         framer.MemberServing,
+	})
+	a.loop = looper.New(tickInterval, a.tick)
+	return a
+}
+
+// Run serves until ctx is done, then leaves: the gate closes at once, work in
+// flight is finished up to the grace. It tells whether all was finished.
+func (a *Agent) Run(ctx context.Context) (bool, error) {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(runCtx)
+	a.group = group
+	h := server.New(a.cfg.Address, maxHTTPBodyBytes)
+	h.GET(linker.Path, func(_ context.Context, c *app.RequestContext) {
+		linker.Upgrade(c, func(_ context.Context, conn net.Conn, r *bufio.Reader) {
+			a.serveLink(groupCtx, conn, r)
+		})
+	})
+	h.GET("/healthz", server.Health)
+	h.GET("/readyz", a.ready)
+	h.GET("/debug/vars", server.Vars)
+	group.Go(func() error { return a.loop.Run(groupCtx) })
+	group.Go(func() error { return server.Run(groupCtx, h) })
+	group.Go(func() error { return a.announce(groupCtx) })
+	a.log.Info("agent started", "address", a.cfg.Address, "service", a.cfg.Agent.Service, "endpoint", a.cfg.Agent.Endpoint)
+	finished := true
+	select {
+	case <-ctx.Done():
+		finished = a.leave(groupCtx)
+	case <-groupCtx.Done():
+	}
+	stop()
+	return finished, group.Wait()
+}
+
+// leave closes the gate and waits for the work in flight.
+func (a *Agent) leave(ctx context.Context) bool {
+	a.leaving.Store(true)
+	if a.loop.Ask(ctx, func(now time.Time) { a.closeGate(now, "signal") }) != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.cfg.LeaveGrace))
+	defer cancel()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		idle := false
+		if a.loop.Ask(ctx, func(time.Time) { idle = a.gate.Idle() }) != nil {
+			a.log.Error("grace ended before all work was finished")
+			return false
+		}
+		if idle {
+			a.finishLinks(ctx)
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// finishLinks lets each link write what is queued before it ends.
+func (a *Agent) finishLinks(ctx context.Context) {
+	var links []*linker.Link
+	if a.loop.Ask(ctx, func(time.Time) { links = slices.Collect(maps.Values(a.links)) }) != nil {
+		return
+	}
+	var group errgroup.Group
+	for _, l := range links {
+		group.Go(func() error {
+			l.Finish()
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		a.log.Error("finishing links", "error", err)
+	}
+}
+
+func (a *Agent) closeGate(now time.Time, who string) {
+	if a.gate.Leaving() {
+		return
+	}
+	a.log.Info("gate closed", "who", who, "running", a.gate.Running())
+	a.leaving.Store(true)
+	a.view.SetState(framer.MemberLeaving)
+	a.perform(now, a.gate.Leave())
+}
+
+func (a *Agent) ready(_ context.Context, c *app.RequestContext) {
+	if a.leaving.Load() {
+		c.String(consts.StatusServiceUnavailable, "leaving\n")
+		return
+	}
+	c.String(consts.StatusOK, "ready\n")
+}
+
+// serveLink owns an accepted connection until it ends.
+func (a *Agent) serveLink(ctx context.Context, conn net.Conn, r *bufio.Reader) {
+	l, err := linker.Accept(conn, r, a.framer, a.hello)
+	if err != nil {
+		a.log.Warn("link refused", "error", err)
+		return
+	}
+	key := peerKey(l.Peer)
+	a.loop.Post(func(now time.Time) { a.linkUp(now, key, l) })
+	err = l.Run(ctx, func(f framer.Frame) {
+		a.loop.Post(func(now time.Time) { a.receive(now, key, l, f) })
+	})
+	a.log.Info("link ended", "peer", l.Peer.Address, "cause", err)
+	a.loop.Post(func(time.Time) { a.linkDown(key, l) })
+}
+
+// peerKey tells entries apart, also when one is replaced at its address.
+func peerKey(h framer.Hello) string {
+	return h.Address + "#" + strconv.FormatUint(h.Incarnation, 16)
+}
+
+// linkUp takes a new link. An older one of the same peer ends, so that no
+// frame of it can be taken after a fence on the new one.
+func (a *Agent) linkUp(now time.Time, key string, l *linker.Link) {
+	if old := a.links[key]; old != nil {
+		old.Abort()
+	}
+	a.links[key] = l
+	a.view.Merge(now, []framer.Member{{
+		Role:          l.Peer.Role,
+		Address:       l.Peer.Address,
+		FailureDomain: l.Peer.FailureDomain,
+		Incarnation:   l.Peer.Incarnation,
+		State:         framer.MemberServing,
+	}})
+	a.gate.Connect(key)
+	a.perform(now, []gatekeeper.Action{a.gate.Report(key)})
+}
+
+func (a *Agent) linkDown(key string, l *linker.Link) {
+	if a.links[key] != l {
+		return
+	}
+	delete(a.links, key)
+	a.gate.Disconnect(key)
+}
+
+func (a *Agent) receive(now time.Time, key string, l *linker.Link, f framer.Frame) {
+	if a.links[key] != l {
+		return
+	}
+	a.view.Heard(now, l.Peer.Address)
+	switch {
+	case f.Start != nil:
+		a.perform(now, a.gate.Start(now, key, *f.Start))
+	case f.Fence != nil:
+		a.perform(now, a.gate.Fence(now, key, *f.Fence))
+	case f.Documents != nil:
+		a.install(now, f.Documents.Documents)
+		a.perform(now, []gatekeeper.Action{a.gate.Report(key)})
+	case f.Leave != nil:
+		a.closeGate(now, f.Leave.Who)
+	}
+}
+
+// install puts a newer document of the agent's own service in force.
+func (a *Agent) install(now time.Time, documents []framer.Document) {
+	for _, doc := range documents {
+		if doc.Service != a.cfg.Agent.Service {
+			continue
+		}
+		fresh, err := a.shelf.Put(doc)
+		if err != nil {
+			a.log.Error("document refused", "service", doc.Service, "version", doc.Version, "error", err)
+			continue
+		}
+		if !fresh {
+			continue
+		}
+		if err := a.enforce(now, doc.Version); err != nil {
+			a.log.Error("document not in force", "service", doc.Service, "version", doc.Version, "error", err)
+			continue
+		}
+		a.log.Info("document in force", "service", doc.Service, "version", doc.Version)
+	}
+}
+
+func (a *Agent) enforce(now time.Time, version uint64) error {
+	_, doc := a.shelf.Get(a.cfg.Agent.Service)
+	if a.endpoint == nil {
+		endpoint, err := NewEndpointClient(a.cfg.Agent.Endpoint, doc.Endpoint.Connections)
+		if err != nil {
+			return err
+		}
+		a.endpoint = endpoint
+	}
+	a.perform(now, a.gate.Install(now, doc.GatePlan(version)))
+	return nil
+}
+
+// perform carries out the gate's decisions.
+func (a *Agent) perform(now time.Time, actions []gatekeeper.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			if l := a.links[action.Send.Peer]; l != nil {
+				l.Send(action.Send.Frame)
+			}
+		case action.Run != nil:
+			a.run(now, action.Run)
+		}
+	}
+}
+
+// run passes a request to the endpoint on a goroutine of its own.
+func (a *Agent) run(now time.Time, run *gatekeeper.Run) {
+	endpoint := a.endpoint
+	remaining := run.Deadline.Sub(now)
+	a.group.Go(func() error {
+		result := endpoint.Run(context.Background(), run.Start, remaining)
+		a.loop.Post(func(now time.Time) {
+			a.perform(now, a.gate.Finished(now, run.Start.ID, result))
+		})
+		return nil
+	})
+}
+
+func (a *Agent) tick(now time.Time) {
+	a.perform(now, a.gate.Tick(now))
+	a.view.Expire(now)
+}
+
+// announce shows the agent to each entry that has no link to it.
+func (a *Agent) announce(ctx context.Context) error {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		var targets []string
+		var own framer.Frame
+		err := a.loop.Ask(ctx, func(now time.Time) {
+			targets = a.unlinked()
+			own = framer.Frame{
+				Members: &framer.Members{
+					Members: []framer.Member{a.view.Own()},
+				},
+			}
+		})
+		if err != nil {
+			return nil
+		}
+		var group errgroup.Group
+		for _, address := range targets {
+			group.Go(func() error {
+				a.announceTo(ctx, address, own)
+				return nil
+			})
+		}
+		if group.Wait() != nil {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *Agent) announceTo(ctx context.Context, address string, own framer.Frame) {
+	reply, err := linker.Exchange(ctx, a.framer, address, a.hello, own)
+	if err != nil {
+		a.log.Debug("announcement failed", "entry", address, "error", err)
+		return
+	}
+	if reply.Members == nil {
+		return
+	}
+	a.loop.Post(func(now time.Time) { a.view.Merge(now, reply.Members.Members) })
+}
+
+// unlinked returns the entries, set or learnt, that have no link to this agent.
+func (a *Agent) unlinked() []string {
+	linked := map[string]bool{}
+	for _, l := range a.links {
+		linked[l.Peer.Address] = true
+	}
+	var targets []string
+	for _, address := range a.cfg.Join {
+		if !linked[address] {
+			targets = append(targets, address)
+		}
+	}
+	for _, m := range a.view.Role(framer.RoleEntry) {
+		if !linked[m.Address] && !slices.Contains(targets, m.Address) {
+			targets = append(targets, m.Address)
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/pkg/framer/message.go
@@ -0,0 +1,202 @@
+// Package framer defines the messages between the system's own processes and
+// encodes them as bounded CBOR frames.
+package framer
+
+import "time"
+
+// ProtocolVersion is spoken in each hello; both ends must agree on it.
+const ProtocolVersion = 1
+
+// Role tells what kind of process is at an end of a link.
+type Role string
+
+// The roles of a process.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Reason tells why work was not run, or why its outcome is not known.
+type Reason string
+
+// The reasons that travel in refusals and in callers' answers.
+const (
+	ReasonBusy             Reason = "busy"
+	ReasonLeaving          Reason = "leaving"
+	ReasonExpired          Reason = "deadline-passed"
+	ReasonFenced           Reason = "fenced"
+	ReasonDuplicate        Reason = "duplicate-request"
+	ReasonUnknownKind      Reason = "unknown-kind"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonQueueFull        Reason = "queue-full"
+	ReasonNoEndpoint       Reason = "no-endpoint"
+	ReasonEndpointDown     Reason = "endpoint-down"
+	ReasonRetryBudget      Reason = "retry-budget-spent"
+	ReasonStoreUnavailable Reason = "store-unavailable"
+	ReasonLinkLost         Reason = "link-lost"
+	ReasonEndpointReplaced Reason = "endpoint-replaced"
+	ReasonBrokenAnswer     Reason = "broken-answer"
+)
+
+// Hello is the first frame in each direction of a link.
+type Hello struct {
+	Version       int    `cbor:"version"`
+	Role          Role   `cbor:"role"`
+	Address       string `cbor:"address"`
+	FailureDomain string `cbor:"failure-domain"`
+	Service       string `cbor:"service,omitempty"`
+	Incarnation   uint64 `cbor:"incarnation"`
+}
+
+// KindRoom tells how many more requests of a kind a gate would take now.
+type KindRoom struct {
+	Kind string `cbor:"kind"`
+	Room int    `cbor:"room"`
+}
+
+// Load is a gate's state as seen on one link. Seen counts the starts that
+// the gate had received on that link, so that the entry can tell which of
+// its own starts the figures include.
+type Load struct {
+	Running int        `cbor:"running"`
+	Waiting int        `cbor:"waiting"`
+	Slots   int        `cbor:"slots"`
+	Leaving bool       `cbor:"leaving,omitempty"`
+	Seen    uint64     `cbor:"seen"`
+	Rooms   []KindRoom `cbor:"rooms"`
+}
+
+// Heartbeat shows that a direction of a link is alive. Echo is the newest
+// sequence number heard from the other end.
+type Heartbeat struct {
+	Sequence uint64 `cbor:"sequence"`
+	Echo     uint64 `cbor:"echo"`
+}
+
+// Start asks a gate to run a request. Remaining is the time left until the
+// deadline and Age the time since acceptance, both at sending.
+type Start struct {
+	ID          string        `cbor:"id"`
+	Attempt     int           `cbor:"attempt"`
+	Kind        string        `cbor:"kind"`
+	Idempotent  bool          `cbor:"idempotent,omitempty"`
+	Remaining   time.Duration `cbor:"remaining"`
+	Age         time.Duration `cbor:"age"`
+	ContentType string        `cbor:"content-type,omitempty"`
+	Body        []byte        `cbor:"body"`
+}
+
+// Refused says that an attempt was not run and never will be.
+type Refused struct {
+	ID      string `cbor:"id"`
+	Attempt int    `cbor:"attempt"`
+	Reason  Reason `cbor:"reason"`
+}
+
+// Answer carries one part of an endpoint's answer. Parts are numbered from
+// nought; Last marks the final one.
+type Answer struct {
+	ID          string `cbor:"id"`
+	Attempt     int    `cbor:"attempt"`
+	Part        int    `cbor:"part"`
+	Last        bool   `cbor:"last,omitempty"`
+	Status      int    `cbor:"status,omitempty"`
+	ContentType string `cbor:"content-type,omitempty"`
+	Body        []byte `cbor:"body"`
+}
+
+// Failed says that an attempt started but gave no answer: it may have run.
+type Failed struct {
+	ID      string `cbor:"id"`
+	Attempt int    `cbor:"attempt"`
+	Reason  Reason `cbor:"reason"`
+}
+
+// Fence asks a gate to make sure that an attempt either has started already
+// or never will. Remember is how long the gate must hold to its word.
+type Fence struct {
+	ID       string        `cbor:"id"`
+	Attempt  int           `cbor:"attempt"`
+	Remember time.Duration `cbor:"remember"`
+}
+
+// FenceState is a gate's word on a fenced attempt.
+type FenceState string
+
+// The states of a fenced attempt.
+const (
+	FenceNeverStarted FenceState = "never-started"
+	FenceRunning      FenceState = "running"
+	FenceAnswered     FenceState = "answered"
+	FenceFailed       FenceState = "failed"
+)
+
+// Fenced answers a Fence. Where the state is answered, the answer's frames
+// follow on the same link.
+type Fenced struct {
+	ID      string     `cbor:"id"`
+	Attempt int        `cbor:"attempt"`
+	State   FenceState `cbor:"state"`
+}
+
+// MemberState tells whether a process takes new work.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberServing MemberState = "serving"
+	MemberLeaving MemberState = "leaving"
+)
+
+// Member announces one process. A higher incarnation replaces a lower one;
+// Age is the time since the process itself was last heard.
+type Member struct {
+	Role          Role          `cbor:"role"`
+	Address       string        `cbor:"address"`
+	FailureDomain string        `cbor:"failure-domain"`
+	Service       string        `cbor:"service,omitempty"`
+	Incarnation   uint64        `cbor:"incarnation"`
+	State         MemberState   `cbor:"state"`
+	Age           time.Duration `cbor:"age"`
+}
+
+// Members carries a sender's view of the system and a digest of the service
+// documents it holds. The answer to it carries documents if the digests differ.
+type Members struct {
+	Members   []Member   `cbor:"members"`
+	Digest    uint64     `cbor:"digest"`
+	Documents []Document `cbor:"documents,omitempty"`
+}
+
+// Document carries one accepted version of a service document.
+type Document struct {
+	Service string `cbor:"service"`
+	Version uint64 `cbor:"version"`
+	Text    string `cbor:"text"`
+}
+
+// Documents carries the newest documents that a sender holds.
+type Documents struct {
+	Documents []Document `cbor:"documents"`
+}
+
+// Leave asks an agent to drain its endpoint.
+type Leave struct {
+	Who string `cbor:"who"`
+}
+
+// Frame is one message on a link; exactly one field is set.
+type Frame struct {
+	Hello     *Hello     `cbor:"hello,omitempty"`
+	Heartbeat *Heartbeat `cbor:"heartbeat,omitempty"`
+	Start     *Start     `cbor:"start,omitempty"`
+	Refused   *Refused   `cbor:"refused,omitempty"`
+	Answer    *Answer    `cbor:"answer,omitempty"`
+	Failed    *Failed    `cbor:"failed,omitempty"`
+	Fence     *Fence     `cbor:"fence,omitempty"`
+	Fenced    *Fenced    `cbor:"fenced,omitempty"`
+	Load      *Load      `cbor:"load,omitempty"`
+	Members   *Members   `cbor:"members,omitempty"`
+	Documents *Documents `cbor:"documents,omitempty"`
+	Leave     *Leave     `cbor:"leave,omitempty"`
+}
--- /dev/null
+++ b/pkg/publisher/editor.go
@@ -0,0 +1,291 @@
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+const (
+	// editLimit bounds how long an edit waits for the table's word.
+	editLimit = 5 * time.Second
+	// maxLogConflicts bounds the tries against edits of other documents.
+	maxLogConflicts = 16
+	// scanLimit is how many rows one read of the log returns.
+	scanLimit = 100
+
+	sequenceKey = "document-sequence"
+)
+
+// Edit is an operator's change of one document.
+type Edit struct {
+	Service string
+	// Base is the version that the edit was made from; nought for a new one.
+	Base uint64
+	Text string
+	Who  string
+}
+
+// StaleEditError says that a document changed since the edit's base.
+type StaleEditError struct {
+	Base    uint64
+	Current framer.Document
+}
+
+// Error implements error.
+func (e *StaleEditError) Error() string {
+	return fmt.Sprintf("the edit is based on version %d of %s, but version %d is in force; compare them and edit again",
+		e.Base, e.Current.Service, e.Current.Version)
+}
+
+// AuditRow is one line of the audit trail.
+type AuditRow struct {
+	At      time.Time `json:"at"`
+	Who     string    `json:"who"`
+	What    string    `json:"what"`
+	Subject string    `json:"subject"`
+	From    string    `json:"from"`
+	To      string    `json:"to"`
+	Why     string    `json:"why,omitempty"`
+}
+
+// storedDocument is the value of a document's rows.
+type storedDocument struct {
+	Text string    `json:"text"`
+	Who  string    `json:"who"`
+	At   time.Time `json:"at"`
+}
+
+// logEntry is the value of a row of the document log.
+type logEntry struct {
+	Service string `json:"service"`
+	Version uint64 `json:"version"`
+}
+
+// Editor records documents in the table. It is safe for concurrent use.
+type Editor struct {
+	table     storer.Table
+	committer *storer.Committer
+}
+
+// NewEditor returns an editor on the table.
+func NewEditor(table storer.Table) *Editor {
+	return &Editor{
+		table:     table,
+		committer: storer.NewCommitter(table),
+	}
+}
+
+// Apply checks and records an edit. It returns the accepted document, a
+// *FieldError, a *StaleEditError or a *storer.UnavailableError.
+func (e *Editor) Apply(ctx context.Context, now time.Time, edit Edit) (framer.Document, error) {
+	doc, err := Parse(edit.Text)
+	if err != nil {
+		return framer.Document{}, err
+	}
+	if doc.Service != edit.Service {
+		return framer.Document{}, &FieldError{
+			Field:   "service",
+			Value:   doc.Service,
+			Allowed: edit.Service,
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, editLimit)
+	defer cancel()
+	for range maxLogConflicts {
+		err := e.commit(ctx, now, edit)
+		var conflict *storer.ConflictError
+		switch {
+		case err == nil:
+			return framer.Document{
+				Service: edit.Service,
+				Version: edit.Base + 1,
+				Text:    edit.Text,
+			}, nil
+		case !errors.As(err, &conflict):
+			return framer.Document{}, err
+		case conflict.Row.Key == documentKey(edit.Service):
+			return framer.Document{}, stale(edit, conflict.Row)
+		}
+	}
+	return framer.Document{}, &storer.UnavailableError{
+		Cause: "too many edits at once; try again",
+	}
+}
+
+func stale(edit Edit, row storer.Row) error {
+	var current storedDocument
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &current); err != nil {
+			return errors.Wrap(err, "decoding a document's row")
+		}
+	}
+	return &StaleEditError{
+		Base: edit.Base,
+		Current: framer.Document{
+			Service: edit.Service,
+			Version: row.Version,
+			Text:    current.Text,
+		},
+	}
+}
+
+// commit writes the document, its history, its place in the log and its audit
+// row in one transaction.
+func (e *Editor) commit(ctx context.Context, now time.Time, edit Edit) error {
+	sequence, err := e.table.Get(ctx, sequenceKey)
+	if err != nil {
+		return err
+	}
+	version := edit.Base + 1
+	stored := encodeRow(storedDocument{
+		Text: edit.Text,
+		Who:  edit.Who,
+		At:   now,
+	})
+	return e.committer.Commit(ctx, storer.Transaction{
+		ID: uuid.NewString(),
+		Writes: []storer.Write{
+			{
+				Key:    documentKey(edit.Service),
+				Expect: edit.Base,
+				Value:  stored,
+			},
+			{
+				Key:   fmt.Sprintf("document-history/%s/%012d", edit.Service, version),
+				Value: stored,
+			},
+			{
+				Key:    sequenceKey,
+				Expect: sequence.Version,
+			},
+			{
+				Key: logKey(sequence.Version + 1),
+				Value: encodeRow(logEntry{
+					Service: edit.Service,
+					Version: version,
+				}),
+			},
+			{
+				Key: AuditKey(now, edit.Service),
+				Value: encodeRow(AuditRow{
+					At:      now,
+					Who:     edit.Who,
+					What:    "document",
+					Subject: edit.Service,
+					From:    fmt.Sprint(edit.Base),
+					To:      fmt.Sprint(version),
+				}),
+			},
+		},
+	})
+}
+
+// Since returns the documents that were accepted after a place in the log,
+// and the newest place.
+func (e *Editor) Since(ctx context.Context, place uint64) ([]framer.Document, uint64, error) {
+	rows, err := e.table.Scan(ctx, "document-log/", logKey(place), scanLimit)
+	if err != nil {
+		return nil, place, err
+	}
+	changed := map[string]bool{}
+	for _, row := range rows {
+		var entry logEntry
+		if err := json.Unmarshal(row.Value, &entry); err != nil {
+			return nil, place, errors.Wrap(err, "decoding the document log")
+		}
+		changed[entry.Service] = true
+	}
+	var documents []framer.Document
+	for service := range changed {
+		doc, err := e.load(ctx, service)
+		if err != nil {
+			return nil, place, err
+		}
+		documents = append(documents, doc)
+	}
+	return documents, place + uint64(len(rows)), nil
+}
+
+// History returns all versions of a document, oldest first.
+func (e *Editor) History(ctx context.Context, service string) ([]framer.Document, error) {
+	rows, err := e.table.Scan(ctx, "document-history/"+service+"/", "", scanLimit)
+	if err != nil {
+		return nil, err
+	}
+	documents := make([]framer.Document, 0, len(rows))
+	for i, row := range rows {
+		doc, err := decodeDocument(service, row)
+		if err != nil {
+			return nil, err
+		}
+		doc.Version = uint64(i + 1)
+		documents = append(documents, doc)
+	}
+	return documents, nil
+}
+
+// Audit returns the audit trail, oldest first, after a key.
+func (e *Editor) Audit(ctx context.Context, after string) ([]AuditRow, error) {
+	rows, err := e.table.Scan(ctx, "audit/", after, scanLimit)
+	if err != nil {
+		return nil, err
+	}
+	trail := make([]AuditRow, 0, len(rows))
+	for _, row := range rows {
+		var line AuditRow
+		if err := json.Unmarshal(row.Value, &line); err != nil {
+			return nil, errors.Wrap(err, "decoding the audit trail")
+		}
+		trail = append(trail, line)
+	}
+	return trail, nil
+}
+
+func (e *Editor) load(ctx context.Context, service string) (framer.Document, error) {
+	row, err := e.table.Get(ctx, documentKey(service))
+	if err != nil {
+		return framer.Document{}, err
+	}
+	return decodeDocument(service, row)
+}
+
+func decodeDocument(service string, row storer.Row) (framer.Document, error) {
+	var stored storedDocument
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return framer.Document{}, errors.Wrap(err, "decoding a document's row")
+	}
+	return framer.Document{
+		Service: service,
+		Version: row.Version,
+		Text:    stored.Text,
+	}, nil
+}
+
+// AuditKey orders audit rows by time.
+func AuditKey(now time.Time, subject string) string {
+	return fmt.Sprintf("audit/%020d/%s/%s", now.UnixNano(), subject, uuid.NewString())
+}
+
+func documentKey(service string) string {
+	return "document/" + service
+}
+
+func logKey(place uint64) string {
+	return fmt.Sprintf("document-log/%012d", place)
+}
+
+func encodeRow(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a row can always be encoded"))
+	}
+	return data
+}
--- /dev/null
+++ b/pkg/publisher/rules.go
@@ -0,0 +1,67 @@
+package publisher
+
+import (
+	"math"
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/admitter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/gatekeeper"
+)
+
+// standbyRunTime is the longest expected run time of a kind that may wait at
+// a gate; longer kinds wait at the entry, where their turn is still open.
+const (
+	standbyRunTime = 200 * time.Millisecond
+	standbySlots   = 2
+)
+
+// AdmissionRules returns what an entry's queue needs to know of a document.
+func (d *Document) AdmissionRules() []admitter.Rule {
+	rules := make([]admitter.Rule, 0, len(d.Kinds))
+	for _, k := range d.Kinds {
+		rules = append(rules, admitter.Rule{
+			Kind:      k.Name,
+			Urgency:   k.Urgency,
+			Floor:     k.Floor,
+			MaxQueued: k.MaxQueued,
+			RunTime:   time.Duration(k.RunTime),
+		})
+	}
+	return rules
+}
+
+// GatePlan returns what a gate needs to know of a document.
+func (d *Document) GatePlan(version uint64) gatekeeper.Plan {
+	plan := gatekeeper.Plan{
+		Version: version,
+		Slots:   d.Endpoint.Slots,
+	}
+	for _, k := range d.Kinds {
+		plan.Rules = append(plan.Rules, gatekeeper.Rule{
+			Kind:         k.Name,
+			FloorSlots:   int(math.Floor(k.Floor * float64(d.Endpoint.Slots))),
+			CeilingSlots: max(1, int(math.Floor(k.Ceiling*float64(d.Endpoint.Slots)))),
+			RunTime:      time.Duration(k.RunTime),
+			LendLimit:    time.Duration(k.LendLimit),
+			Standby:      k.standby(),
+		})
+	}
+	return plan
+}
+
+func (k *Kind) standby() int {
+	if time.Duration(k.RunTime) <= standbyRunTime {
+		return standbySlots
+	}
+	return 0
+}
+
+// Kind returns the declaration of a kind, or nil.
+func (d *Document) Kind(name string) *Kind {
+	for i := range d.Kinds {
+		if d.Kinds[i].Name == name {
+			return &d.Kinds[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/receiver/agent_link.go
@@ -0,0 +1,167 @@
+package receiver
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/linker"
+)
+
+const (
+	firstRedial   = 20 * time.Millisecond
+	longestRedial = time.Second
+)
+
+// agentLink keeps a link to one agent open until it is cancelled.
+type agentLink struct {
+	member framer.Member
+	cancel context.CancelFunc
+	// link is the open link, or nil; it belongs to the control goroutine.
+	link *linker.Link
+	// outstanding counts attempts that wait for the agent's answer.
+	outstanding atomic.Int64
+}
+
+// meet takes members learnt from anyone and links to agents that are new.
+func (e *Entry) meet(now time.Time, members []framer.Member) {
+	for _, m := range e.view.Merge(now, members) {
+		e.log.Info("member seen", "role", m.Role, "address", m.Address, "service", m.Service, "incarnation", m.Incarnation)
+		if m.Role != framer.RoleAgent {
+			continue
+		}
+		e.perform(e.dispatcher.Replaced(now, m.Address, m.Incarnation))
+		if e.links[m.Address] == nil {
+			e.link(m)
+		}
+	}
+}
+
+// link starts the goroutine that keeps a link to an agent.
+func (e *Entry) link(m framer.Member) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	a := &agentLink{
+		member: m,
+		cancel: cancel,
+	}
+	e.links[m.Address] = a
+	e.group.Go(func() error {
+		e.keepLink(ctx, a)
+		return nil
+	})
+}
+
+// forget ends the link to an agent that has been silent for long.
+func (e *Entry) forget(address string) {
+	a := e.links[address]
+	if a == nil {
+		return
+	}
+	e.log.Info("endpoint forgotten", "address", address)
+	a.cancel()
+	delete(e.links, address)
+	e.dispatcher.Forget(address)
+}
+
+func (e *Entry) keepLink(ctx context.Context, a *agentLink) {
+	pause := firstRedial
+	for ctx.Err() == nil {
+		l, err := linker.Dial(ctx, e.framer, a.member.Address, e.hello)
+		if err != nil {
+			e.log.Debug("link not opened", "address", a.member.Address, "error", err)
+			sleep(ctx, pause)
+			pause = min(longestRedial, 2*pause)
+			continue
+		}
+		pause = firstRedial
+		e.runLink(ctx, a, l)
+	}
+}
+
+func (e *Entry) runLink(ctx context.Context, a *agentLink, l *linker.Link) {
+	l.Busy = func() bool { return a.outstanding.Load() > 0 }
+	e.loop.Post(func(now time.Time) { e.linkUp(now, a, l) })
+	err := l.Run(ctx, func(f framer.Frame) {
+		e.loop.Post(func(now time.Time) { e.receive(now, a, l, f) })
+	})
+	e.log.Info("link ended", "peer", a.member.Address, "cause", err)
+	e.loop.Post(func(now time.Time) { e.linkDown(now, a, l) })
+}
+
+func (e *Entry) linkUp(now time.Time, a *agentLink, l *linker.Link) {
+	a.link = l
+	e.log.Info("link opened", "peer", l.Peer.Address, "incarnation", l.Peer.Incarnation)
+	e.view.Merge(now, []framer.Member{{
+		Role:          l.Peer.Role,
+		Address:       l.Peer.Address,
+		FailureDomain: l.Peer.FailureDomain,
+		Service:       l.Peer.Service,
+		Incarnation:   l.Peer.Incarnation,
+		State:         framer.MemberServing,
+	}})
+	if doc, _ := e.shelf.Get(l.Peer.Service); doc.Version > 0 {
+		l.Send(documentsFrame(doc))
+	}
+	e.perform(e.dispatcher.Connect(now, l.Peer.Service, l.Peer.Address, l.Peer.FailureDomain, l.Peer.Incarnation))
+}
+
+func (e *Entry) linkDown(now time.Time, a *agentLink, l *linker.Link) {
+	if a.link != l {
+		return
+	}
+	a.link = nil
+	a.outstanding.Store(0)
+	e.perform(e.dispatcher.Disconnect(now, l.Peer.Address))
+}
+
+func (e *Entry) receive(now time.Time, a *agentLink, l *linker.Link, f framer.Frame) {
+	if a.link != l {
+		return
+	}
+	e.view.Heard(now, l.Peer.Address)
+	a.outstanding.Add(outstandingChange(f))
+	e.perform(e.dispatcher.Receive(now, l.Peer.Address, f))
+}
+
+func (e *Entry) send(s *dispatcher.Send) {
+	a := e.links[s.Address]
+	if a == nil || a.link == nil {
+		return
+	}
+	a.outstanding.Add(outstandingChange(s.Frame))
+	a.link.Send(s.Frame)
+}
+
+// outstandingChange is what a frame changes in the number of attempts that
+// wait for an agent's answer.
+func outstandingChange(f framer.Frame) int64 {
+	switch {
+	case f.Start != nil:
+		return 1
+	case f.Fenced != nil && f.Fenced.State == framer.FenceRunning:
+		return 1
+	case f.Refused != nil, f.Failed != nil, f.Answer != nil && f.Answer.Last:
+		return -1
+	default:
+		return 0
+	}
+}
+
+func documentsFrame(documents ...framer.Document) framer.Frame {
+	return framer.Frame{
+		Documents: &framer.Documents{
+			Documents: documents,
+		},
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/receiver/entry.go
@@ -0,0 +1,248 @@
+// Package receiver is the entry's process: it takes callers' requests and
+// operators' edits, and keeps links to the agents of the endpoints.
+package receiver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/announcer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/claimer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/linker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	bwserver "github.com/bilberrywalk/bilberrywalk/pkg/server"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+const (
+	tickInterval = 5 * time.Millisecond
+	// exchangeInterval is the time between two exchanges with another entry.
+	exchangeInterval = time.Second
+	// pollInterval is the time between two reads of the document log.
+	pollInterval = time.Second
+	// idlePoll is how often a leaving entry looks whether all is answered.
+	idlePoll = 20 * time.Millisecond
+	// noticeTime is how long a leaving entry still listens, so that the
+	// balancer sees that it is not ready.
+	noticeTime = 500 * time.Millisecond
+)
+
+// Entry is the process that callers and operators reach.
+type Entry struct {
+	cfg     configurer.Settings
+	log     hclog.Logger
+	assert  *asserter.Asserter
+	framer  *framer.Framer
+	hello   framer.Hello
+	loop    *looper.Loop
+	group   *errgroup.Group
+	claimer *claimer.Claimer
+	editor  *publisher.Editor
+
+	leaving  atomic.Bool
+	handling atomic.Int64
+
+	// The fields below belong to the control goroutine.
+	ctx        context.Context
+	dispatcher *dispatcher.Dispatcher
+	view       *announcer.View
+	shelf      *publisher.Shelf
+	links      map[string]*agentLink
+	waiters    map[string]chan<- dispatcher.Outcome
+	// shown holds, by entry, the digest of the documents it was last shown.
+	shown map[string]uint64
+}
+
+// Dependencies are what an entry is built from.
+type Dependencies struct {
+	Log         hclog.Logger
+	Assert      *asserter.Asserter
+	Framer      *framer.Framer
+	Table       storer.Table
+	Random      *rand.Rand
+	Incarnation uint64
+}
+
+// New returns an entry.
+func New(cfg configurer.Settings, deps Dependencies) *Entry {
+	e := &Entry{
+		cfg:    cfg,
+		log:    deps.Log,
+		assert: deps.Assert,
+		framer: deps.Framer,
+		hello: framer.Hello{
+			Role:          framer.RoleEntry,
+			Address:       cfg.Address,
+			FailureDomain: cfg.FailureDomain,
+			Incarnation:   deps.Incarnation,
+		},
+		claimer: claimer.New(cfg.Address, deps.Table),
+		editor:  publisher.NewEditor(deps.Table),
+		dispatcher: dispatcher.New(dispatcher.Settings{
+			FailureDomain: cfg.FailureDomain,
+			RetryRatio:    cfg.Entry.RetryRatio,
+			RetryBurst:    cfg.Entry.RetryBurst,
+		}, deps.Random, deps.Assert),
+		view: announcer.New(framer.Member{
+			Role:          framer.RoleEntry,
+			Address:       cfg.Address,
+			FailureDomain: cfg.FailureDomain,
+			Incarnation:   deps.Incarnation,
+			State:         framer.MemberServing,
+		}),
+		shelf:   publisher.NewShelf(deps.Assert),
+		links:   map[string]*agentLink{},
+		waiters: map[string]chan<- dispatcher.Outcome{},
+		shown:   map[string]uint64{},
+	}
+	e.loop = looper.New(tickInterval, e.tick)
+	return e
+}
+
+// Run serves until ctx is done, then leaves: it is no longer ready, refuses
+// fresh requests, and answers those in flight up to the grace. It tells
+// whether all were answered.
+func (e *Entry) Run(ctx context.Context) (bool, error) {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(runCtx)
+	e.group = group
+	e.ctx = groupCtx
+	h := bwserver.New(e.cfg.Address, e.cfg.Entry.MaxBodyBytes)
+	e.route(h)
+	listenCtx, stopListening := context.WithCancel(groupCtx)
+	defer stopListening()
+	group.Go(func() error { return e.loop.Run(groupCtx) })
+	group.Go(func() error { return bwserver.Run(listenCtx, h) })
+	group.Go(func() error { return e.exchange(groupCtx) })
+	group.Go(func() error { return e.poll(groupCtx) })
+	e.log.Info("entry started", "address", e.cfg.Address, "failure-domain", e.cfg.FailureDomain)
+	finished := true
+	select {
+	case <-ctx.Done():
+		finished = e.leave(groupCtx, stopListening)
+	case <-groupCtx.Done():
+	}
+	stop()
+	return finished, group.Wait()
+}
+
+func (e *Entry) route(h *server.Hertz) {
+	h.POST("/v1/services/:service/requests", e.counted(e.takeRequest))
+	h.PUT("/v1/services/:service/document", e.counted(e.applyDocument))
+	h.GET("/v1/services/:service/document", e.getDocument)
+	h.GET("/v1/services/:service/history", e.listHistory)
+	h.GET("/v1/services", e.listServices)
+	h.GET("/v1/endpoints", e.listEndpoints)
+	h.POST("/v1/endpoints/:address/drain", e.counted(e.drainEndpoint))
+	h.GET("/v1/status", e.getStatus)
+	h.GET("/v1/audit", e.listAudit)
+	h.GET(linker.Path, e.takeLink)
+	h.GET("/healthz", bwserver.Health)
+	h.GET("/readyz", e.ready)
+	h.GET("/debug/vars", bwserver.Vars)
+}
+
+// counted keeps the number of calls that are being answered.
+func (e *Entry) counted(next app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		e.handling.Add(1)
+		defer e.handling.Add(-1)
+		next(ctx, c)
+	}
+}
+
+func (e *Entry) ready(_ context.Context, c *app.RequestContext) {
+	if e.leaving.Load() {
+		c.String(consts.StatusServiceUnavailable, "leaving\n")
+		return
+	}
+	c.String(consts.StatusOK, "ready\n")
+}
+
+// leave stops taking work and waits for the answers in flight.
+func (e *Entry) leave(ctx context.Context, stopListening func()) bool {
+	e.leaving.Store(true)
+	e.log.Info("entry leaving")
+	if e.loop.Ask(ctx, func(time.Time) { e.dispatcher.Leave() }) != nil {
+		return false
+	}
+	graceCtx, cancel := context.WithTimeout(ctx, time.Duration(e.cfg.LeaveGrace))
+	defer cancel()
+	notice := time.NewTimer(noticeTime)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-graceCtx.Done():
+	}
+	stopListening()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for e.handling.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-graceCtx.Done():
+			e.log.Error("grace ended before all requests were answered", "requests", e.handling.Load())
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Entry) tick(now time.Time) {
+	e.perform(e.dispatcher.Tick(now))
+	for _, m := range e.view.Expire(now) {
+		e.forget(m.Address)
+	}
+}
+
+// perform carries out the dispatcher's decisions.
+func (e *Entry) perform(actions []dispatcher.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			e.send(action.Send)
+		case action.Finish != nil:
+			if waiter := e.waiters[action.Finish.ID]; waiter != nil {
+				delete(e.waiters, action.Finish.ID)
+				waiter <- action.Finish.Outcome
+			}
+		case action.Claim != nil:
+			e.claim(*action.Claim)
+		case action.Release != nil:
+			e.release(*action.Release)
+		}
+	}
+}
+
+func (e *Entry) claim(a dispatcher.Claim) {
+	e.group.Go(func() error {
+		result := e.claimer.Claim(e.ctx, a)
+		e.loop.Post(func(now time.Time) {
+			e.perform(e.dispatcher.Claimed(now, a.ID, result))
+		})
+		return nil
+	})
+}
+
+func (e *Entry) release(a dispatcher.Release) {
+	e.group.Go(func() error {
+		if err := e.claimer.Release(e.ctx, a); err != nil {
+			e.log.Warn("claim not released", "request", a.ID, "error", err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/pkg/receiver/operators.go
@@ -0,0 +1,290 @@
+package receiver
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/server"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+// headerWho names the operator that makes a change.
+const headerWho = "Bilberrywalk-Who"
+
+// DocumentBody is a document in the operators' interface.
+type DocumentBody struct {
+	Service string `json:"service"`
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+// ConflictBody answers an edit whose base is not the version in force.
+type ConflictBody struct {
+	Error   string       `json:"error"`
+	Base    uint64       `json:"base"`
+	Current DocumentBody `json:"current"`
+	Yours   string       `json:"yours"`
+}
+
+// EndpointBody is an endpoint in the operators' interface.
+type EndpointBody struct {
+	Address       string             `json:"address"`
+	Service       string             `json:"service"`
+	FailureDomain string             `json:"failure-domain"`
+	Incarnation   string             `json:"incarnation"`
+	State         framer.MemberState `json:"state"`
+	Linked        bool               `json:"linked"`
+}
+
+// StatusBody is an entry's state in the operators' interface.
+type StatusBody struct {
+	Address       string            `json:"address"`
+	FailureDomain string            `json:"failure-domain"`
+	Leaving       bool              `json:"leaving"`
+	InFlight      int               `json:"in-flight"`
+	Endpoints     int               `json:"endpoints"`
+	Linked        int               `json:"linked"`
+	Documents     map[string]uint64 `json:"documents"`
+	Counts        dispatcher.Counts `json:"counts"`
+	Broken        map[string]int64  `json:"broken-invariants"`
+}
+
+// applyDocument records an operator's edit.
+func (e *Entry) applyDocument(ctx context.Context, c *app.RequestContext) {
+	base, err := strconv.ParseUint(c.Query("base"), 10, 64)
+	if err != nil {
+		server.Refuse(c, consts.StatusBadRequest, &publisher.FieldError{
+			Field:   "base",
+			Value:   c.Query("base"),
+			Allowed: "the version that the edit was made from; 0 for a new document",
+		})
+		return
+	}
+	edit := publisher.Edit{
+		Service: c.Param("service"),
+		Base:    base,
+		Text:    string(c.Request.Body()),
+		Who:     string(c.GetHeader(headerWho)),
+	}
+	doc, err := e.editor.Apply(ctx, time.Now(), edit)
+	if err != nil {
+		refuseEdit(c, edit, err)
+		return
+	}
+	if e.loop.Ask(ctx, func(now time.Time) { e.accept(now, doc) }) != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, errors.New("the entry is leaving; the edit was accepted"))
+		return
+	}
+	c.JSON(consts.StatusOK, documentBody(doc))
+}
+
+func refuseEdit(c *app.RequestContext, edit publisher.Edit, err error) {
+	var field *publisher.FieldError
+	var stale *publisher.StaleEditError
+	var unavailable *storer.UnavailableError
+	switch {
+	case errors.As(err, &field):
+		server.Refuse(c, consts.StatusBadRequest, err)
+	case errors.As(err, &stale):
+		c.JSON(consts.StatusConflict, ConflictBody{
+			Error:   err.Error(),
+			Base:    stale.Base,
+			Current: documentBody(stale.Current),
+			Yours:   edit.Text,
+		})
+	case errors.As(err, &unavailable) && unavailable.MayHaveTakenEffect:
+		c.Response.Header.Set(headerOutcome, string(dispatcher.Unknown))
+		server.Refuse(c, consts.StatusGatewayTimeout, err)
+	default:
+		c.Response.Header.Set(headerOutcome, string(dispatcher.NotRun))
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+	}
+}
+
+// accept puts an accepted document in force and hands it on.
+func (e *Entry) accept(now time.Time, doc framer.Document) {
+	if !e.install(now, []framer.Document{doc}) {
+		return
+	}
+	for _, m := range e.view.Role(framer.RoleEntry) {
+		e.group.Go(func() error {
+			e.exchangeWith(e.ctx, m.Address)
+			return nil
+		})
+	}
+}
+
+// install puts newer documents in force and tells whether any was newer.
+func (e *Entry) install(now time.Time, documents []framer.Document) bool {
+	changed := false
+	for _, doc := range documents {
+		fresh, err := e.shelf.Put(doc)
+		if err != nil {
+			e.log.Error("document refused", "service", doc.Service, "version", doc.Version, "error", err)
+			continue
+		}
+		if !fresh {
+			continue
+		}
+		changed = true
+		e.log.Info("document in force", "service", doc.Service, "version", doc.Version)
+		e.enforce(now, doc)
+	}
+	return changed
+}
+
+func (e *Entry) enforce(now time.Time, doc framer.Document) {
+	_, parsed := e.shelf.Get(doc.Service)
+	isNew := !e.dispatcher.Serves(doc.Service)
+	e.perform(e.dispatcher.Install(now, doc.Service, parsed.AdmissionRules()))
+	for _, address := range e.linkedAddresses() {
+		l := e.links[address].link
+		if l == nil || l.Peer.Service != doc.Service {
+			continue
+		}
+		if isNew {
+			e.perform(e.dispatcher.Connect(now, l.Peer.Service, address, l.Peer.FailureDomain, l.Peer.Incarnation))
+		}
+		l.Send(documentsFrame(doc))
+	}
+}
+
+func (e *Entry) getDocument(ctx context.Context, c *app.RequestContext) {
+	var doc framer.Document
+	if err := e.loop.Ask(ctx, func(time.Time) { doc, _ = e.shelf.Get(c.Param("service")) }); err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	if doc.Version == 0 {
+		server.Refuse(c, consts.StatusNotFound, &UnknownServiceError{
+			Service: c.Param("service"),
+		})
+		return
+	}
+	c.JSON(consts.StatusOK, documentBody(doc))
+}
+
+func (e *Entry) listServices(ctx context.Context, c *app.RequestContext) {
+	var documents []framer.Document
+	if err := e.loop.Ask(ctx, func(time.Time) { documents = e.shelf.All() }); err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	c.JSON(consts.StatusOK, documentBodies(documents))
+}
+
+func (e *Entry) listHistory(ctx context.Context, c *app.RequestContext) {
+	documents, err := e.editor.History(ctx, c.Param("service"))
+	if err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	c.JSON(consts.StatusOK, documentBodies(documents))
+}
+
+func (e *Entry) listAudit(ctx context.Context, c *app.RequestContext) {
+	trail, err := e.editor.Audit(ctx, c.Query("after"))
+	if err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	c.JSON(consts.StatusOK, trail)
+}
+
+func (e *Entry) listEndpoints(ctx context.Context, c *app.RequestContext) {
+	list := []EndpointBody{}
+	err := e.loop.Ask(ctx, func(time.Time) {
+		for _, m := range e.view.Role(framer.RoleAgent) {
+			a := e.links[m.Address]
+			list = append(list, EndpointBody{
+				Address:       m.Address,
+				Service:       m.Service,
+				FailureDomain: m.FailureDomain,
+				Incarnation:   strconv.FormatUint(m.Incarnation, 16),
+				State:         e.dispatcher.EndpointState(m.Address),
+				Linked:        a != nil && a.link != nil,
+			})
+		}
+	})
+	if err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	c.JSON(consts.StatusOK, list)
+}
+
+// drainEndpoint asks an agent to close its gate.
+func (e *Entry) drainEndpoint(ctx context.Context, c *app.RequestContext) {
+	asked := false
+	err := e.loop.Ask(ctx, func(time.Time) {
+		a := e.links[c.Param("address")]
+		if a == nil || a.link == nil {
+			return
+		}
+		asked = a.link.Send(framer.Frame{
+			Leave: &framer.Leave{
+				Who: string(c.GetHeader(headerWho)),
+			},
+		})
+	})
+	switch {
+	case err != nil:
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+	case !asked:
+		server.Refuse(c, consts.StatusNotFound, errors.Newf("no link to an endpoint at %s; see the list of endpoints", c.Param("address")))
+	default:
+		c.JSON(consts.StatusOK, map[string]string{"drained": c.Param("address")})
+	}
+}
+
+func (e *Entry) getStatus(ctx context.Context, c *app.RequestContext) {
+	body := StatusBody{
+		Address:       e.cfg.Address,
+		FailureDomain: e.cfg.FailureDomain,
+		Leaving:       e.leaving.Load(),
+		Documents:     map[string]uint64{},
+		Broken:        e.assert.Broken(),
+	}
+	err := e.loop.Ask(ctx, func(time.Time) {
+		body.InFlight = e.dispatcher.InFlight()
+		body.Endpoints = len(e.links)
+		body.Counts = e.dispatcher.Counts
+		for _, a := range e.links {
+			if a.link != nil {
+				body.Linked++
+			}
+		}
+		for _, doc := range e.shelf.All() {
+			body.Documents[doc.Service] = doc.Version
+		}
+	})
+	if err != nil {
+		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		return
+	}
+	c.JSON(consts.StatusOK, body)
+}
+
+func documentBody(doc framer.Document) DocumentBody {
+	return DocumentBody{
+		Service: doc.Service,
+		Version: doc.Version,
+		Text:    doc.Text,
+	}
+}
+
+func documentBodies(documents []framer.Document) []DocumentBody {
+	list := make([]DocumentBody, 0, len(documents))
+	for _, doc := range documents {
+		list = append(list, documentBody(doc))
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/server/server.go
@@ -0,0 +1,101 @@
+// Package server builds the HTTP servers of the system's processes and the
+// answers that they share.
+package server
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+// idleLimit closes callers' connections that send nothing.
+const idleLimit = time.Minute
+
+// New returns a server on address whose request bodies are bounded.
+func New(address string, maxBodyBytes int) *server.Hertz {
+	hlog.SetOutput(io.Discard)
+	return server.New(
+		server.WithHostPorts(address),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithIdleTimeout(idleLimit),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(0),
+	)
+}
+
+// Run serves until ctx is done, then closes the listener. Requests that are
+// being answered go on; whoever ends the process waits for them first.
+func Run(ctx context.Context, h *server.Hertz) error {
+	stop := context.AfterFunc(ctx, func() {
+		if err := h.Shutdown(context.Background()); err != nil {
+			hlog.Warnf("closing the HTTP server: %v", err)
+		}
+	})
+	defer stop()
+	if err := h.Run(); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serving HTTP")
+	}
+	return nil
+}
+
+// Error is the JSON body of a refused call.
+type Error struct {
+	Error   string `json:"error"`
+	Field   string `json:"field,omitempty"`
+	Value   string `json:"value,omitempty"`
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// Refuse answers a call with an error; a wrong field is named.
+func Refuse(c *app.RequestContext, status int, err error) {
+	body := Error{
+		Error: err.Error(),
+	}
+	var field *publisher.FieldError
+	if errors.As(err, &field) {
+		body.Field = field.Field
+		body.Value = field.Value
+		body.Allowed = field.Allowed
+	}
+	c.JSON(status, body)
+}
+
+// Vars answers with the process's expvar metrics.
+func Vars(_ context.Context, c *app.RequestContext) {
+	var b strings.Builder
+	b.WriteString("{")
+	separator := "\n"
+	expvar.Do(func(kv expvar.KeyValue) {
+		if kv.Key == "cmdline" {
+			return
+		}
+		b.WriteString(separator + `"` + kv.Key + `": ` + kv.Value.String())
+		separator = ",\n"
+	})
+	b.WriteString("\n}\n")
+	c.Data(consts.StatusOK, "application/json", []byte(b.String()))
+}
+
+// Health answers that the process is alive.
+func Health(_ context.Context, c *app.RequestContext) {
+	c.String(consts.StatusOK, "alive\n")
+}
+
+// NeverSent tells whether a call failed before anything of it was sent.
+func NeverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
