--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -58,6 +58,9 @@
 	StandIn       standInCommand       `cmd:"" help:"Run a small stand-in of an outside system, for tests."`
 	Service       serviceCommand       `cmd:"" help:"Read and edit service documents."`
 	Endpoint      endpointCommand      `cmd:"" help:"List endpoints or drain one."`
+	Job           jobCommand           `cmd:"" help:"Submit, list and cancel jobs."`
+	Instance      instanceCommand      `cmd:"" help:"List the instances that run tasks."`
+	Cell          cellCommand          `cmd:"" help:"List the cells and their owners."`
 	Status        statusCommand        `cmd:"" help:"Show the state of an entry."`
 	Audit         auditCommand         `cmd:"" help:"Show the audit trail of changes."`
 	Version       versionCommand       `cmd:"" help:"Print the version."`
--- a/pkg/commander/demo.go
+++ b/pkg/commander/demo.go
@@ -64,5 +64,8 @@
 	if err := printTable(s, header, rows); err != nil {
 		return err
 	}
+	if err := printLine(s, "jobs: %d, done: %d", summary.Jobs, summary.JobsDone); err != nil {
+		return err
+	}
 	return printLine(s, "dials: %d, run more than once: %d; most running on one endpoint: %d", summary.Dials, summary.DoubledDials, summary.MostRunning)
 }
--- a/pkg/commander/processes.go
+++ b/pkg/commander/processes.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/forwarder"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/receiver"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
@@ -52,11 +53,16 @@
 	if err != nil {
 		return err
 	}
+	workers, err := overseer.NewHTTPWorkers()
+	if err != nil {
+		return err
+	}
 	entry := receiver.New(cfg, receiver.Dependencies{
 		Log:         log,
 		Assert:      newAsserter(log),
 		Framer:      fr,
 		Table:       platform.Table(),
+		Workers:     workers,
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Incarnation: newIncarnation(),
 	})
--- a/pkg/commander/stand_in.go
+++ b/pkg/commander/stand_in.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/server"
 )
 
 // standInCommand lists the stand-ins.
 type standInCommand struct {
 	Platform standInPlatform `cmd:"" help:"Run a table service and object store that keep everything in memory."`
+	Worker   standInWorker   `cmd:"" help:"Run an instance that starts every task it is given and sleeps for its run time."`
 	Endpoint standInEndpoint `cmd:"" help:"Run an endpoint that sleeps and echoes what it was sent."`
 }
 
@@ -37,6 +39,26 @@
 	return server.Run(ctx, faker.NewEndpoint(cmd.RunTime).Server(cmd.Address))
 }
 
+// standInWorker runs a stand-in worker.
+type standInWorker struct {
+	Address         string `help:"The IP number and port to listen on." required:""`
+	FailureDomain   string `help:"The failure domain." default:"quito-norte"`
+	Rack            string `help:"The rack." default:"rack-1"`
+	ProcessorMillis int64  `help:"Thousandths of a processor." default:"30000"`
+	MemoryBytes     int64  `help:"Bytes of memory." default:"134217728000"`
+	Accelerators    int64  `help:"Accelerators." default:"0"`
+}
+
+// Run implements the command.
+func (cmd standInWorker) Run(ctx context.Context) error {
+	worker := faker.NewWorker(newIncarnation(), cmd.FailureDomain, cmd.Rack, publisher.Resources{
+		ProcessorMillis: cmd.ProcessorMillis,
+		MemoryBytes:     cmd.MemoryBytes,
+		Accelerators:    cmd.Accelerators,
+	})
+	return server.Run(ctx, worker.Server(cmd.Address))
+}
+
 func printLine(s *streams, format string, args ...any) error {
 	_, err := fmt.Fprintf(s.out, format+"\n", args...)
 	return err
--- a/pkg/demonstrator/demo.go
+++ b/pkg/demonstrator/demo.go
@@ -53,6 +53,8 @@
 // Summary is the demo's result.
 type Summary struct {
 	Kinds            []*KindSummary   `json:"kinds"`
+	Jobs             int              `json:"jobs"`
+	JobsDone         int              `json:"jobs-done"`
 	Dials            int              `json:"dials"`
 	DoubledDials     int              `json:"doubled-dials"`
 	MostRunning      int              `json:"most-running"`
@@ -94,6 +96,10 @@
 		}
 		options.Progress("document of " + s.service + " is in force")
 	}
+	if err := submitJobs(ctx, client); err != nil {
+		return nil, err
+	}
+	options.Progress(fmt.Sprintf("%d jobs are on record", jobs))
 	d := &driver{
 		fleet: fleet,
 		sums:  map[string]*KindSummary{},
@@ -110,7 +116,16 @@
 		return nil, err
 	}
 	options.Progress("all requests have their outcome")
-	return d.summary(), nil
+	summary := d.summary()
+	summary.Jobs = jobs
+	summary.JobsDone, err = followJobs(ctx, client)
+	if err != nil {
+		return nil, err
+	}
+	if summary.JobsDone < summary.Jobs {
+		summary.Faults = append(summary.Faults, fmt.Sprintf("%d of %d jobs are done", summary.JobsDone, summary.Jobs))
+	}
+	return summary, nil
 }
 
 // publish applies a site's document and waits until requests are served.
--- a/pkg/demonstrator/fleet.go
+++ b/pkg/demonstrator/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/forwarder"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/receiver"
 	"github.com/bilberrywalk/bilberrywalk/pkg/server"
@@ -26,6 +27,7 @@
 type Fleet struct {
 	Platform  *faker.Platform
 	Endpoints []*faker.Endpoint
+	Workers   []*faker.Worker
 	Entries   []string
 	Assert    *asserter.Asserter
 
@@ -34,6 +36,8 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	seed   uint64
+
+	workerAddresses []string
 }
 
 // fleetGrace is how long the fleet's processes wait for work when they leave.
@@ -61,6 +65,9 @@
 		return nil, err
 	}
 	group.Go(func() error { return server.Run(ctx, f.Platform.Server(platform)) })
+	if err := f.startWorkers(); err != nil {
+		return nil, err
+	}
 	if err := f.startEntries(platform); err != nil {
 		return nil, err
 	}
@@ -74,6 +81,25 @@
 	return f, nil
 }
 
+// startWorkers brings up instances of the users' size, three to a rack.
+func (f *Fleet) startWorkers() error {
+	const workers, perRack = 4, 3
+	for i := range workers {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		worker := faker.NewWorker(uint64(time.Now().UnixNano()), "quito-norte", fmt.Sprintf("rack-%d", i/perRack), publisher.Resources{
+			ProcessorMillis: 30_000,
+			MemoryBytes:     125 << 30,
+		})
+		f.Workers = append(f.Workers, worker)
+		f.workerAddresses = append(f.workerAddresses, address)
+		f.group.Go(func() error { return server.Run(f.ctx, worker.Server(address)) })
+	}
+	return nil
+}
+
 func (f *Fleet) startEntries(platform string) error {
 	const entries = 3
 	for range entries {
@@ -86,6 +112,11 @@
 	for i, address := range f.Entries {
 		cfg := f.settings(address, sites()[0].domains[i])
 		cfg.Platform = platform
+		cfg.Entry.Workers = f.workerAddresses
+		workers, err := overseer.NewHTTPWorkers()
+		if err != nil {
+			return err
+		}
 		client, err := storer.NewHTTPPlatform(platform)
 		if err != nil {
 			return err
@@ -95,6 +126,7 @@
 			Assert:      f.Assert,
 			Framer:      f.framer,
 			Table:       client.Table(),
+			Workers:     workers,
 			Random:      rand.New(rand.NewPCG(f.nextSeed(), 0)),
 			Incarnation: uint64(time.Now().UnixNano()),
 		})
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -291,6 +291,11 @@
 	return 0
 }
 
+// Holds tells whether a request has no outcome yet.
+func (d *Dispatcher) Holds(id string) bool {
+	return d.requests[id] != nil
+}
+
 // Serves tells whether the rules of a service are in force.
 func (d *Dispatcher) Serves(name string) bool {
 	return d.services[name] != nil
--- /dev/null
+++ b/pkg/experimenter/random_run_test.go
@@ -0,0 +1,224 @@
+package experimenter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
+)
+
+const testDocument = `service = "central-polls"
+team = "condor"
+[endpoint]
+slots = 8
+connections = 64
+[[kind]]
+name = "list-check"
+urgency = 9
+deadline = "2s"
+run-time = "20ms"
+idempotent = true
+floor = 0.5
+ceiling = 1.0
+lend-limit = "100ms"
+max-queued = 500
+[[kind]]
+name = "dial"
+urgency = 7
+deadline = "4s"
+run-time = "50ms"
+idempotent = false
+floor = 0.1
+ceiling = 0.5
+lend-limit = "100ms"
+max-queued = 500
+[[kind]]
+name = "dialer-feed"
+urgency = 3
+deadline = "10s"
+run-time = "400ms"
+idempotent = true
+floor = 0.1
+ceiling = 0.5
+lend-limit = "1s"
+max-queued = 500
+`
+
+var testRunTimes = map[string]time.Duration{
+	"list-check":  20 * time.Millisecond,
+	"dial":        50 * time.Millisecond,
+	"dialer-feed": 400 * time.Millisecond,
+}
+
+// fatalAsserter ends the test at the first broken invariant.
+func fatalAsserter(t *testing.T, seed uint64) *asserter.Asserter {
+	return asserter.New(func(name string, pairs ...any) {
+		t.Fatalf("seed %d: invariant %s broken: %v", seed, name, pairs)
+	})
+}
+
+// seeds returns the seeds of a randomised test; BILBERRYWALK_SEED replays one.
+func seeds(n uint64) []uint64 {
+	if text := os.Getenv("BILBERRYWALK_SEED"); text != "" {
+		if seed, err := strconv.ParseUint(text, 10, 64); err == nil {
+			return []uint64{seed}
+		}
+	}
+	list := make([]uint64, 0, n)
+	for seed := range n {
+		list = append(list, seed+1)
+	}
+	return list
+}
+
+func testWorld(t *testing.T, seed uint64) *World {
+	w, err := NewWorld(Config{
+		Seed:      seed,
+		Entries:   3,
+		Endpoints: 10,
+		Domains:   []string{"quito-norte", "quito-sur", "cumbaya"},
+		Delay:     1500 * time.Microsecond,
+		Document:  testDocument,
+		RunTime: func(rnd *rand.Rand, kind string) time.Duration {
+			return time.Duration(float64(testRunTimes[kind]) * (0.2 + rnd.ExpFloat64()))
+		},
+		RetryRatio: 0.1,
+		RetryBurst: 10,
+		Assert:     fatalAsserter(t, seed),
+	})
+	assert.NilError(t, err)
+	return w
+}
+
+// TestRandomFaults runs callers against faults at any moment, together and
+// twice, and checks the promises for every request.
+func TestRandomFaults(t *testing.T) {
+	for _, seed := range seeds(20) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			w := testWorld(t, seed)
+			rnd := rand.New(rand.NewPCG(seed, 2))
+			callers(w, rnd)
+			w.Every(120*time.Millisecond, func() bool {
+				randomFault(w, rnd)
+				return true
+			})
+			w.RunUntil(w.Now().Add(60 * time.Second))
+			for _, e := range w.Entries {
+				assert.Assert(t, e.Dispatcher.InFlight() < 2000)
+			}
+			checkPromises(t, w)
+		})
+	}
+}
+
+// callers submit for 45 s, so that every deadline has passed at the end.
+func callers(w *World, rnd *rand.Rand) {
+	kinds := []string{"list-check", "list-check", "list-check", "list-check", "dial", "dial", "dialer-feed"}
+	until := w.Now().Add(45 * time.Second)
+	n := 0
+	w.Every(3*time.Millisecond, func() bool {
+		n++
+		e := w.Entries[rnd.IntN(len(w.Entries))]
+		kind := kinds[rnd.IntN(len(kinds))]
+		callerID := ""
+		if kind == "dial" {
+			callerID = fmt.Sprintf("dial-%d", n-rnd.IntN(2)*rnd.IntN(40))
+		}
+		if e.Alive() {
+			w.Submit(e, kind, callerID)
+		}
+		return w.Now().Before(until)
+	})
+}
+
+func randomFault(w *World, rnd *rand.Rand) {
+	a := w.Agents[rnd.IntN(len(w.Agents))]
+	i := rnd.IntN(len(w.Entries))
+	e := w.Entries[i]
+	span := time.Duration(rnd.Int64N(int64(4 * time.Second)))
+	switch rnd.IntN(12) {
+	case 0:
+		a.Kill()
+		w.After(span, a.Restart)
+	case 1:
+		a.Freeze(span)
+	case 2:
+		w.Silence(e, a, true, false)
+	case 3:
+		w.Silence(e, a, false, true)
+	case 4:
+		w.Silence(e, a, true, true)
+	case 5:
+		w.Cut(e, a, span)
+	case 6:
+		a.Failing = true
+		w.After(span, func() { a.Failing = false })
+	case 7:
+		a.Slow = 20
+		w.After(span, func() { a.Slow = 1 })
+	case 8:
+		a.Leave()
+		w.After(span, func() {
+			a.Kill()
+			a.Restart()
+		})
+	case 9:
+		if rnd.IntN(4) == 0 && e.Alive() {
+			e.Kill()
+			w.After(span, func() { w.ReplaceEntry(i) })
+		}
+	case 10:
+		w.ClaimsDown = true
+		w.After(span/2, func() { w.ClaimsDown = false })
+	default:
+	}
+}
+
+// checkPromises holds every job against what must always be true.
+func checkPromises(t *testing.T, w *World) {
+	t.Helper()
+	runsByCallerID := map[string]int{}
+	answered := 0
+	for id, job := range w.Jobs {
+		checkOutcome(t, id, job)
+		if job.Request.CallerID != "" {
+			runsByCallerID[job.Request.CallerID] += job.Runs
+		}
+		if len(job.Outcomes) == 1 && job.Outcomes[0].Kind == dispatcher.Answered {
+			answered++
+		}
+	}
+	for callerID, runs := range runsByCallerID {
+		assert.Assert(t, runs <= 1, "%s ran %d times", callerID, runs)
+	}
+	for _, a := range w.Agents {
+		assert.Assert(t, a.MostRunning <= 8, "%s ran %d at once", a.address, a.MostRunning)
+	}
+	assert.Assert(t, answered*2 > len(w.Jobs), "only %d of %d answered", answered, len(w.Jobs))
+}
+
+func checkOutcome(t *testing.T, id string, job *Job) {
+	t.Helper()
+	if job.Orphaned {
+		assert.Assert(t, len(job.Outcomes) == 0, "%s: an outcome from a killed entry", id)
+		return
+	}
+	assert.Assert(t, len(job.Outcomes) == 1, "%s (%s): %d outcomes", id, job.Request.Kind, len(job.Outcomes))
+	o := job.Outcomes[0]
+	switch o.Kind {
+	case dispatcher.NotRun:
+		assert.Assert(t, job.Runs == 0, "%s: told %s (%s), ran %d times", id, o.Kind, o.Reason, job.Runs)
+	case dispatcher.Answered:
+		assert.Assert(t, o.Status != 200 || string(o.Body) == id, "%s: got the answer %q", id, o.Body)
+	case dispatcher.Unknown:
+	}
+	late := job.EndedAt.Sub(job.Request.Deadline)
+	assert.Assert(t, late <= entryTick, "%s: outcome %s after the deadline", id, late)
+}
--- a/pkg/faker/platform.go
+++ b/pkg/faker/platform.go
@@ -45,6 +45,8 @@
 	writes    *rate.Limiter
 	reads     *rate.Limiter
 
+	// Now is the clock of the limits.
+	Now func() time.Time
 	// Writes and Reads count the calls that were carried out.
 	Writes, Reads int
 }
@@ -57,6 +59,7 @@
 		objects:   map[string][]byte{},
 		writes:    rate.NewLimiter(writesPerSecond, writesPerSecond),
 		reads:     rate.NewLimiter(readsPerSecond, readsPerSecond),
+		Now:       time.Now,
 	}
 }
 
@@ -125,7 +128,7 @@
 			Cause: "the platform is down",
 		}
 	}
-	if !limit.Allow() {
+	if !limit.AllowN(p.Now(), 1) {
 		return &storer.UnavailableError{
 			Cause: "too many calls a second",
 		}
--- /dev/null
+++ b/pkg/leaser/lease.go
@@ -0,0 +1,122 @@
+// Package leaser decides who owns a cell. Ownership is a row of the platform's
+// table that its owner rewrites; whoever saw it unchanged for long enough may
+// take it over under a higher epoch. No clocks are compared between processes.
+package leaser
+
+import "time"
+
+const (
+	// OwnFor is how long an owner may act after sending a renewal that the
+	// table then confirmed.
+	OwnFor = 4 * time.Second
+	// TakeAfter is how long a row must stand unchanged before it is taken over.
+	TakeAfter = 6 * time.Second
+	// RenewInterval is the time between two renewals.
+	RenewInterval = time.Second
+	// OrphanHorizon is how long an owner that can't reach the table goes on
+	// renewing the leases of running tasks.
+	OrphanHorizon = 10 * time.Minute
+)
+
+// Row is the value of a cell's row.
+type Row struct {
+	Owner string `json:"owner"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// Lease is one process's view of a cell's ownership. It does no I/O.
+type Lease struct {
+	self      string
+	version   uint64
+	row       Row
+	known     bool
+	seenAt    time.Time
+	held      bool
+	validTo   time.Time
+	contactAt time.Time
+}
+
+// New returns the lease of a process that has not read the row yet.
+func New(self string) *Lease {
+	return &Lease{
+		self: self,
+	}
+}
+
+// Observe notes the row as read from the table; version nought means that
+// there is none.
+func (l *Lease) Observe(now time.Time, version uint64, row Row) {
+	if !l.known || version != l.version {
+		l.seenAt = now
+	}
+	l.known = true
+	l.version = version
+	l.row = row
+}
+
+// MayTake tells whether the row may be taken over now.
+func (l *Lease) MayTake(now time.Time) bool {
+	if !l.known || l.held {
+		return false
+	}
+	return l.version == 0 || now.Sub(l.seenAt) >= TakeAfter
+}
+
+// Next returns the row to write to take or renew ownership, and the version
+// that it must replace.
+func (l *Lease) Next() (uint64, Row) {
+	row := Row{
+		Owner: l.self,
+		Epoch: l.row.Epoch,
+	}
+	if !l.held {
+		row.Epoch++
+	}
+	return l.version, row
+}
+
+// Confirmed notes that the table took the row that Next gave at sentAt.
+func (l *Lease) Confirmed(sentAt time.Time) {
+	_, row := l.Next()
+	l.version++
+	l.row = row
+	l.held = true
+	l.validTo = sentAt.Add(OwnFor)
+	l.contactAt = sentAt
+}
+
+// Lost notes that another process owns the row.
+func (l *Lease) Lost() {
+	l.held = false
+	l.known = false
+}
+
+// Held tells whether this process took the row and has not learnt of a loss.
+func (l *Lease) Held() bool {
+	return l.held
+}
+
+// Valid tells whether this process may start work and commit rows.
+func (l *Lease) Valid(now time.Time) bool {
+	return l.held && now.Before(l.validTo)
+}
+
+// MayRenewTasks tells whether this process may renew leases of tasks that run.
+func (l *Lease) MayRenewTasks(now time.Time) bool {
+	return l.held && now.Before(l.contactAt.Add(OrphanHorizon))
+}
+
+// Epoch returns the epoch of the row as last known.
+func (l *Lease) Epoch() uint64 {
+	return l.row.Epoch
+}
+
+// Owner returns the owner as last known.
+func (l *Lease) Owner() string {
+	return l.row.Owner
+}
+
+// Version returns the row's version as last known.
+func (l *Lease) Version() uint64 {
+	return l.version
+}
--- /dev/null
+++ b/pkg/overseer/jobs.go
@@ -0,0 +1,162 @@
+package overseer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+// jobLimit bounds how long a caller waits for its job to be on record.
+const jobLimit = 5 * time.Second
+
+// NoSuchJobError says that no job has an id.
+type NoSuchJobError struct {
+	ID string
+}
+
+// Error implements error.
+func (e *NoSuchJobError) Error() string {
+	return fmt.Sprintf("no job has the id %q; see the list of jobs", e.ID)
+}
+
+// Jobs puts jobs on record and reads what became of them. It is safe for
+// concurrent use.
+type Jobs struct {
+	table     storer.Table
+	committer *storer.Committer
+}
+
+// NewJobs returns the jobs in the table.
+func NewJobs(table storer.Table) *Jobs {
+	return &Jobs{
+		table:     table,
+		committer: storer.NewCommitter(table),
+	}
+}
+
+// Submit puts a job on record, once for each id. When it returns nil the job
+// will be run or its failure told, whatever happens to this process. A
+// *storer.UnavailableError tells whether the job may be on record.
+func (j *Jobs) Submit(ctx context.Context, now time.Time, spec placer.Spec) error {
+	ctx, cancel := context.WithTimeout(ctx, jobLimit)
+	defer cancel()
+	err := j.committer.Commit(ctx, storer.Transaction{
+		ID: uuid.NewString(),
+		Writes: []storer.Write{
+			{
+				Key: inboxKey(spec.ID),
+				Value: encode(Accepted{
+					Spec: spec,
+					At:   now,
+				}),
+			},
+			{
+				Key:       TaskKey(spec.ID),
+				CheckOnly: true,
+			},
+		},
+	})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		// The id is on record already: the same job sent again.
+		return nil
+	}
+	return err
+}
+
+// Cancel asks for a job to be stopped for good.
+func (j *Jobs) Cancel(ctx context.Context, id string) error {
+	if _, err := j.Get(ctx, id); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, jobLimit)
+	defer cancel()
+	err := j.committer.Commit(ctx, storer.Transaction{
+		ID: uuid.NewString(),
+		Writes: []storer.Write{{
+			Key:   cancelKey(id),
+			Value: []byte("{}"),
+		}},
+	})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		// A cancellation of this job is on record already.
+		return nil
+	}
+	return err
+}
+
+// Get returns a job as the table has it.
+func (j *Jobs) Get(ctx context.Context, id string) (placer.Task, error) {
+	row, err := j.table.Get(ctx, TaskKey(id))
+	if err != nil {
+		return placer.Task{}, err
+	}
+	if row.Version > 0 {
+		return DecodeTask(row)
+	}
+	row, err = j.table.Get(ctx, inboxKey(id))
+	if err != nil {
+		return placer.Task{}, err
+	}
+	if row.Version > 0 {
+		return decodeAccepted(row)
+	}
+	// The row may have moved from the inbox between the two reads.
+	row, err = j.table.Get(ctx, TaskKey(id))
+	if err != nil {
+		return placer.Task{}, err
+	}
+	if row.Version == 0 {
+		return placer.Task{}, &NoSuchJobError{
+			ID: id,
+		}
+	}
+	return DecodeTask(row)
+}
+
+// List returns jobs of a cell by id, after an id, at most limit of them.
+func (j *Jobs) List(ctx context.Context, cell, after string, limit int) ([]placer.Task, error) {
+	start := ""
+	if after != "" {
+		start = TaskKey(after)
+	}
+	rows, err := j.table.Scan(ctx, taskPrefix(cell), start, limit)
+	if err != nil {
+		return nil, err
+	}
+	tasks := make([]placer.Task, 0, len(rows))
+	for _, row := range rows {
+		task, err := DecodeTask(row)
+		if err != nil {
+			return nil, err
+		}
+		tasks = append(tasks, task)
+	}
+	return tasks, nil
+}
+
+// DecodeTask reads a task from its row.
+func DecodeTask(row storer.Row) (placer.Task, error) {
+	var task placer.Task
+	return task, errors.Wrap(json.Unmarshal(row.Value, &task), "decoding a task's row")
+}
+
+func decodeAccepted(row storer.Row) (placer.Task, error) {
+	var accepted Accepted
+	if err := json.Unmarshal(row.Value, &accepted); err != nil {
+		return placer.Task{}, errors.Wrap(err, "decoding an inbox row")
+	}
+	return placer.Task{
+		Spec:       accepted.Spec,
+		State:      placer.StateAccepted,
+		AcceptedAt: accepted.At,
+	}, nil
+}
--- /dev/null
+++ b/pkg/overseer/keys.go
@@ -0,0 +1,67 @@
+package overseer
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
+)
+
+// cancelSuffix marks inbox rows that ask for a cancellation.
+const cancelSuffix = "+cancel"
+
+// Accepted is the value of an inbox row: a task that an entry took in.
+type Accepted struct {
+	Spec placer.Spec `json:"spec"`
+	At   time.Time   `json:"at"`
+}
+
+// A task's id starts with its cell's name, so that its rows are found from the
+// id alone.
+
+// CellOf returns the cell that a task's id names.
+func CellOf(id string) string {
+	cell, _, _ := strings.Cut(id, "/")
+	return cell
+}
+
+// CellKey is the key of a cell's row.
+func CellKey(cell string) string {
+	return "cell/" + cell
+}
+
+// TaskKey is the key of a task's row.
+func TaskKey(id string) string {
+	return "task/" + id
+}
+
+func taskPrefix(cell string) string {
+	return "task/" + cell + "/"
+}
+
+func inboxPrefix(cell string) string {
+	return "inbox/" + cell + "/"
+}
+
+func inboxKey(id string) string {
+	return "inbox/" + id
+}
+
+func cancelKey(id string) string {
+	return inboxKey(id) + cancelSuffix
+}
+
+func isCancel(key string) bool {
+	return strings.HasSuffix(key, cancelSuffix)
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a row can always be encoded"))
+	}
+	return data
+}
--- /dev/null
+++ b/pkg/overseer/overseer.go
@@ -0,0 +1,114 @@
+package overseer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+const (
+	workerDialLimit = 500 * time.Millisecond
+	workerCallLimit = time.Second
+)
+
+// WorkerClient reaches workers; another platform is met by another function.
+type WorkerClient struct {
+	Sync func(ctx context.Context, s placer.Sync) (placer.Report, error)
+}
+
+// NewHTTPWorkers returns the client of workers that speak HTTP and JSON.
+func NewHTTPWorkers() (WorkerClient, error) {
+	c, err := client.NewClient(client.WithDialTimeout(workerDialLimit))
+	if err != nil {
+		return WorkerClient{}, errors.Wrap(err, "building the workers' client")
+	}
+	return WorkerClient{
+		Sync: func(ctx context.Context, s placer.Sync) (placer.Report, error) {
+			return syncOverHTTP(ctx, c, s)
+		},
+	}, nil
+}
+
+func syncOverHTTP(ctx context.Context, c *client.Client, s placer.Sync) (placer.Report, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(consts.MethodPost)
+	req.SetRequestURI("http://" + s.Worker + "/sync")
+	req.SetBody(encode(s))
+	if err := c.DoTimeout(ctx, req, resp, workerCallLimit); err != nil {
+		return placer.Report{}, errors.Wrap(err, "calling a worker")
+	}
+	if resp.StatusCode() != consts.StatusOK {
+		return placer.Report{}, errors.Newf("worker %s answered with status %d", s.Worker, resp.StatusCode())
+	}
+	var report placer.Report
+	return report, errors.Wrap(json.Unmarshal(resp.Body(), &report), "decoding a worker's report")
+}
+
+// Overseer carries out what a core decides. The core belongs to the loop.
+type Overseer struct {
+	Core *Core
+
+	table   storer.Table
+	workers WorkerClient
+	loop    *looper.Loop
+	group   *errgroup.Group
+}
+
+// New returns an overseer whose I/O runs in the group.
+func New(cfg Config, table storer.Table, workers WorkerClient, loop *looper.Loop, group *errgroup.Group) *Overseer {
+	return &Overseer{
+		Core:    NewCore(cfg),
+		table:   table,
+		workers: workers,
+		loop:    loop,
+		group:   group,
+	}
+}
+
+// Tick must be called on the loop at short intervals.
+func (o *Overseer) Tick(ctx context.Context, now time.Time) {
+	o.perform(ctx, o.Core.Tick(now))
+}
+
+func (o *Overseer) perform(ctx context.Context, actions []Action) {
+	for _, action := range actions {
+		o.group.Go(func() error {
+			o.carryOut(ctx, action)
+			return nil
+		})
+	}
+}
+
+// carryOut does one act and posts its result.
+func (o *Overseer) carryOut(ctx context.Context, action Action) {
+	switch {
+	case action.Read != nil:
+		row, err := o.table.Get(ctx, CellKey(o.Core.cfg.Cell))
+		o.post(ctx, func(now time.Time) []Action { return o.Core.RowRead(now, row, err) })
+	case action.Write != nil:
+		err := o.table.Commit(ctx, action.Write.Transaction)
+		o.post(ctx, func(now time.Time) []Action { return o.Core.Written(now, action.Write.Transaction.ID, err) })
+	case action.Scan != nil:
+		rows, err := o.table.Scan(ctx, action.Scan.Prefix, action.Scan.After, action.Scan.Limit)
+		o.post(ctx, func(now time.Time) []Action { return o.Core.Scanned(now, *action.Scan, rows, err) })
+	case action.Call != nil:
+		report, err := o.workers.Sync(ctx, action.Call.Sync)
+		o.post(ctx, func(now time.Time) []Action { return o.Core.Called(now, action.Call.Sync, report, err) })
+	}
+}
+
+func (o *Overseer) post(ctx context.Context, f func(now time.Time) []Action) {
+	o.loop.Post(func(now time.Time) { o.perform(ctx, f(now)) })
+}
--- /dev/null
+++ b/pkg/placer/output.go
@@ -0,0 +1,203 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Commit returns the rows that changed since the last commit. It must not be
+// called again before Committed or Abandoned.
+func (c *Cell) Commit() (Commit, bool) {
+	var commit Commit
+	for _, id := range slices.Sorted(maps.Keys(c.changed)) {
+		if len(commit.Rows) == maxCommitRows {
+			break
+		}
+		e := c.changed[id]
+		delete(c.changed, id)
+		e.inFlight = true
+		commit.Rows = append(commit.Rows, Row{
+			Task:      e.Task,
+			Expect:    e.version,
+			FromInbox: e.fromInbox,
+		})
+	}
+	commit.Cancels = c.cancels
+	commit.Audit = c.audit
+	c.cancels = nil
+	c.audit = nil
+	return commit, len(commit.Rows) > 0 || len(commit.Cancels) > 0 || len(commit.Audit) > 0
+}
+
+// Committed notes that the rows of the last commit are in the table.
+func (c *Cell) Committed(now time.Time, commit Commit) {
+	c.now = now
+	for _, row := range commit.Rows {
+		e := c.tasks[row.Task.Spec.ID]
+		e.inFlight = false
+		e.fromInbox = false
+		e.version = row.Expect + 1
+		e.committed = row.Task.State
+		e.committedStart = row.Task.Start
+		if row.Task.State.Final() {
+			delete(c.tasks, row.Task.Spec.ID)
+		}
+	}
+}
+
+// Sync returns what is to be sent to a worker now. With mayStart false it only
+// renews and stops.
+func (c *Cell) Sync(now time.Time, address string, mayStart bool) Sync {
+	c.now = now
+	w := c.workers[address]
+	s := Sync{
+		Worker: address,
+		Cell:   c.name,
+		Epoch:  c.epoch,
+	}
+	if !w.known {
+		return s
+	}
+	s.LeaseUntilMillis = w.clockMillis + TaskLease.Milliseconds()
+	w.leaseEnd = w.clockAt.Add(TaskLease)
+	for _, e := range w.placed() {
+		if command, ok := c.command(e, mayStart); ok {
+			s.Commands = append(s.Commands, command)
+		}
+	}
+	return s
+}
+
+// command is what a worker must be told of a task placed on it. Only a start
+// whose row is committed is ever told.
+func (c *Cell) command(e *entry, mayStart bool) (Command, bool) {
+	command := Command{
+		ID:    e.Spec.ID,
+		Start: e.Start,
+	}
+	switch e.State {
+	case StateCancelling:
+		command.Kind = CommandStop
+		return command, true
+	case StateEvicting:
+		command.Kind = CommandEvict
+		return command, true
+	case StatePlaced:
+		committed := e.committed == StatePlaced && e.committedStart == e.Start
+		if !committed || e.confirmed || !mayStart {
+			return command, false
+		}
+		command.Kind = CommandStart
+		command.Needs = e.Spec.Needs
+		command.Checkpoint = e.Checkpoint
+		command.RunMillis = e.Spec.RunTimeMillis
+		return command, true
+	default:
+		return command, false
+	}
+}
+
+// Surplus returns the commands that end or forget what a worker reports but
+// should not hold: starts that are over, or that belong elsewhere.
+func (c *Cell) Surplus(address string, r Report) []Command {
+	var commands []Command
+	for _, t := range r.Tasks {
+		e := c.tasks[t.ID]
+		current := e != nil && e.Worker == address && e.Start == t.Start && !e.State.Final()
+		if current {
+			continue
+		}
+		kind := CommandStop
+		if t.State != RunRunning {
+			kind = CommandForget
+		}
+		if kind == CommandForget && e != nil && c.unwritten(e) {
+			// The row must say that this start is over before its worker
+			// forgets it.
+			continue
+		}
+		commands = append(commands, Command{
+			Kind:  kind,
+			ID:    t.ID,
+			Start: t.Start,
+		})
+	}
+	return commands
+}
+
+func (c *Cell) unwritten(e *entry) bool {
+	_, changed := c.changed[e.Spec.ID]
+	return changed || e.inFlight
+}
+
+// Urgent tells whether a waiting commit should not be held back for grouping.
+func (c *Cell) Urgent() bool {
+	for _, e := range c.changed {
+		if e.State == StatePlaced && e.Spec.Urgency >= urgentLevel {
+			return true
+		}
+	}
+	return false
+}
+
+// urgentLevel is the lowest urgency whose starts are committed at once.
+const urgentLevel = 7
+
+// Workers returns the addresses of the cell's workers.
+func (c *Cell) Workers() []string {
+	return c.order
+}
+
+// Waiting returns how many tasks wait for a worker.
+func (c *Cell) Waiting() int {
+	return len(c.queue)
+}
+
+// Task returns a task, if the cell knows it.
+func (c *Cell) Task(id string) (Task, bool) {
+	e := c.tasks[id]
+	if e == nil {
+		return Task{}, false
+	}
+	return e.Task, true
+}
+
+// Epoch returns the epoch under which the cell is owned.
+func (c *Cell) Epoch() uint64 {
+	return c.epoch
+}
+
+// InstanceView is a worker as operators see it.
+type InstanceView struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure-domain"`
+	Rack          string `json:"rack"`
+	Reachable     bool   `json:"reachable"`
+	SetAside      bool   `json:"set-aside"`
+	Tasks         int    `json:"tasks"`
+	CommittedCPU  int64  `json:"committed-processor-millis"`
+	CapacityCPU   int64  `json:"capacity-processor-millis"`
+}
+
+// Instances returns all workers as operators see them.
+func (c *Cell) Instances() []InstanceView {
+	var list []InstanceView
+	for _, address := range c.order {
+		w := c.workers[address]
+		view := InstanceView{
+			Address:   address,
+			Reachable: w.reachable,
+			SetAside:  len(w.failedTasks) >= failuresToSetAside,
+		}
+		if w.known {
+			view.FailureDomain = w.failureDomain
+			view.Rack = w.rack
+			view.Tasks = w.ledger.Tasks()
+			view.CommittedCPU = w.ledger.Sum().ProcessorMillis
+			view.CapacityCPU = w.ledger.Capacity().ProcessorMillis
+		}
+		list = append(list, view)
+	}
+	return list
+}
--- a/pkg/receiver/entry.go
+++ b/pkg/receiver/entry.go
@@ -22,6 +22,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/linker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
+	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	bwserver "github.com/bilberrywalk/bilberrywalk/pkg/server"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
@@ -51,6 +52,9 @@
 	group   *errgroup.Group
 	claimer *claimer.Claimer
 	editor  *publisher.Editor
+	jobs    *overseer.Jobs
+	table   storer.Table
+	workers overseer.WorkerClient
 
 	leaving  atomic.Bool
 	handling atomic.Int64
@@ -64,6 +68,8 @@
 	waiters    map[string]chan<- dispatcher.Outcome
 	// shown holds, by entry, the digest of the documents it was last shown.
 	shown map[string]uint64
+	// cell is nil if no workers are set.
+	cell *overseer.Overseer
 }
 
 // Dependencies are what an entry is built from.
@@ -72,6 +78,7 @@
 	Assert      *asserter.Asserter
 	Framer      *framer.Framer
 	Table       storer.Table
+	Workers     overseer.WorkerClient
 	Random      *rand.Rand
 	Incarnation uint64
 }
@@ -91,6 +98,9 @@
 		},
 		claimer: claimer.New(cfg.Address, deps.Table),
 		editor:  publisher.NewEditor(deps.Table),
+		jobs:    overseer.NewJobs(deps.Table),
+		table:   deps.Table,
+		workers: deps.Workers,
 		dispatcher: dispatcher.New(dispatcher.Settings{
 			FailureDomain: cfg.FailureDomain,
 			RetryRatio:    cfg.Entry.RetryRatio,
@@ -121,6 +131,7 @@
 	group, groupCtx := errgroup.WithContext(runCtx)
 	e.group = group
 	e.ctx = groupCtx
+	e.cell = e.newCell()
 	h := bwserver.New(e.cfg.Address, e.cfg.Entry.MaxBodyBytes)
 	e.route(h)
 	listenCtx, stopListening := context.WithCancel(groupCtx)
@@ -148,6 +159,12 @@
 	h.GET("/v1/services", e.listServices)
 	h.GET("/v1/endpoints", e.listEndpoints)
 	h.POST("/v1/endpoints/:address/drain", e.counted(e.drainEndpoint))
+	h.POST("/v1/jobs", e.counted(e.submitJob))
+	h.GET("/v1/jobs", e.listJobs)
+	h.GET("/v1/jobs/:cell/:job", e.getJob)
+	h.DELETE("/v1/jobs/:cell/:job", e.counted(e.cancelJob))
+	h.GET("/v1/instances", e.listInstances)
+	h.GET("/v1/cells", e.listCells)
 	h.GET("/v1/status", e.getStatus)
 	h.GET("/v1/audit", e.listAudit)
 	h.GET(linker.Path, e.takeLink)
@@ -207,6 +224,9 @@
 	for _, m := range e.view.Expire(now) {
 		e.forget(m.Address)
 	}
+	if e.cell != nil {
+		e.cell.Tick(e.ctx, now)
+	}
 }
 
 // perform carries out the dispatcher's decisions.
--- a/pkg/receiver/operators.go
+++ b/pkg/receiver/operators.go
@@ -13,7 +13,6 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/server"
-	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
 )
 
 // headerWho names the operator that makes a change.
@@ -89,7 +88,6 @@
 func refuseEdit(c *app.RequestContext, edit publisher.Edit, err error) {
 	var field *publisher.FieldError
 	var stale *publisher.StaleEditError
-	var unavailable *storer.UnavailableError
 	switch {
 	case errors.As(err, &field):
 		server.Refuse(c, consts.StatusBadRequest, err)
@@ -100,12 +98,8 @@
 			Current: documentBody(stale.Current),
 			Yours:   edit.Text,
 		})
-	case errors.As(err, &unavailable) && unavailable.MayHaveTakenEffect:
-		c.Response.Header.Set(headerOutcome, string(dispatcher.Unknown))
-		server.Refuse(c, consts.StatusGatewayTimeout, err)
 	default:
-		c.Response.Header.Set(headerOutcome, string(dispatcher.NotRun))
-		server.Refuse(c, consts.StatusServiceUnavailable, err)
+		refuseChange(c, err)
 	}
 }
 
@@ -143,6 +137,9 @@
 
 func (e *Entry) enforce(now time.Time, doc framer.Document) {
 	_, parsed := e.shelf.Get(doc.Service)
+	if e.cell != nil {
+		e.cell.Core.SetQuota(parsed.Team, parsed.Quota)
+	}
 	isNew := !e.dispatcher.Serves(doc.Service)
 	e.perform(e.dispatcher.Install(now, doc.Service, parsed.AdmissionRules()))
 	for _, address := range e.linkedAddresses() {
--- /dev/null
+++ b/scripts/red-first.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Shows that the failure tests fail without the code they are meant for: each
+# line takes one guard out of a scratch copy and demands that its test fails.
+# Usage: scripts/red-first.sh [NAME]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+survived=0
+
+# guard NAME FILE SED-EXPRESSION PACKAGE TEST
+guard() {
+  local name=$1 file=$2 expression=$3 package=$4 test=$5
+  [ -z "${only:-}" ] || [ "$only" = "$name" ] || return 0
+  rm -rf "$scratch/tree"
+  mkdir -p "$scratch/tree"
+  cp -r go.mod go.sum main.go pkg "$scratch/tree"
+  sed -i -E "$expression" "$scratch/tree/$file"
+  if cmp -s "$file" "$scratch/tree/$file"; then
+    echo "stale     $name: the expression changes nothing in $file"
+    survived=1
+    return 0
+  fi
+  if (cd "$scratch/tree" && go test -count=1 -run "$test" "./$package" >"$scratch/log" 2>&1); then
+    echo "survived  $name: $test passes without it"
+    survived=1
+  elif grep -q 'build failed' "$scratch/log"; then
+    echo "broken    $name: the copy does not build"
+    survived=1
+  else
+    echo "red       $name: $(grep -m1 -oE 'invariant [a-z-]+|assertion failed: .*' "$scratch/log" | head -c 100)"
+  fi
+}
+
+only=${1:-}
+world=pkg/experimenter
+random='TestRandomFaults'
+guard fence-takes-waiting-out pkg/gatekeeper/gate.go '/if rec.state == stateWaiting \{/,/^\t\}/d' $world $random
+guard non-idempotent-not-retried pkg/dispatcher/dispatcher.go 's/case !q.Idempotent \|\| /case /' $world $random
+guard replaced-is-not-proof pkg/dispatcher/dispatcher.go 's/^\tq.mayHaveRun = true\n\tswitch//; /^func \(d \*Dispatcher\) lost/,/^\}/s/q.mayHaveRun = true//' $world $random
+guard not-run-needs-proof pkg/dispatcher/dispatcher.go '/^func \(q \*request\) unsuccessful/,/^\}/s/if q.mayHaveRun/if false/' $world $random
+guard expired-in-flight-is-unknown pkg/dispatcher/dispatcher.go 's/d.finish\(q, unknown\(framer.ReasonExpired\)\)/d.finish(q, notRun(framer.ReasonExpired))/' $world $random
+guard claim-taken-is-refused pkg/dispatcher/dispatcher.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $world $random
+guard release-only-unrun pkg/dispatcher/dispatcher.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.act(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $world $random
+guard slots-bound-the-gate pkg/gatekeeper/gate.go 's/free := g.plan.Slots - g.total/free := 99/' $world $random
+guard leaving-gate-refuses pkg/gatekeeper/gate.go 's/if g.leaving \{/if false {/' $world $random
+guard silence-is-seen pkg/linker/watch.go 's/return w.pending != 0 .*/return false/' $world $random
+guard whole-answers-only pkg/dispatcher/dispatcher.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' $world $random
+cell='TestCellUnderFaults'
+guard cell-row-guards-commits pkg/overseer/core.go '/^func \(c \*Core\) send/,/^\}/s/Key:    CellKey\(c.cfg.Cell\),/Key: CellKey(c.cfg.Cell) + tx0(c.serial),/; $a func tx0(n uint64) string { return strconv.FormatUint(n, 10) }' $world $cell
+guard takeover-waits-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now/' $world $cell
+guard lapse-waits-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $world $cell
+guard start-only-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/e.confirmed/' $world $cell
+guard lost-answer-is-not-failure pkg/overseer/core.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $world $cell
+guard paused-owner-starts-nothing pkg/overseer/core.go 's/c.cell.Sync\(now, address, c.lease.Valid\(now\)\)/c.cell.Sync(now, address, true)/' $world $cell
+guard forget-after-the-row pkg/placer/output.go 's/if kind == CommandForget \&\& .*\{/if false {/' $world $cell
+guard ledger-bounds-workers pkg/placer/cell.go 's/ \|\| !w.ledger.Fits\(e.Spec.Needs\)//' $world $cell
+guard cancel-waits-for-the-stop pkg/placer/task.go 's/Permit\(triggerCancel, StateCancelling\)/Permit(triggerCancel, StateCancelled)/' $world $cell
+guard lease-in-the-workers-clock pkg/placer/output.go 's/w.leaseEnd = w.clockAt.Add\(TaskLease\)/w.leaseEnd = w.clockAt/' $world $cell
+[ $survived -eq 0 ] && echo "every guard is held by its test"
+exit $survived
