--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -73,7 +73,7 @@
 	if err != nil || held == 0 {
 		return err
 	}
-	return c.committer.Commit(ctx, storer.Transaction{
+	err = c.committer.Commit(ctx, storer.Transaction{
 		ID: uuid.NewString(),
 		Writes: []storer.Write{{
 			Key:    rowKey,
@@ -85,6 +85,12 @@
 			}),
 		}},
 	})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		// The claim was released already; the row may belong to another now.
+		return nil
+	}
+	return err
 }
 
 // take claims a row for a request and returns the version that it holds, or
--- /dev/null
+++ b/pkg/claimer/claimer_test.go
@@ -0,0 +1,91 @@
+package claimer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
+)
+
+func claimOf(id string) dispatcher.Claim {
+	return dispatcher.Claim{
+		ID:       id,
+		Service:  "central-polls",
+		CallerID: "dial-7",
+	}
+}
+
+func releaseOf(id string) dispatcher.Release {
+	return dispatcher.Release{
+		ID:       id,
+		Service:  "central-polls",
+		CallerID: "dial-7",
+	}
+}
+
+func TestSameIDThroughTwoEntries(t *testing.T) {
+	platform := faker.NewPlatform()
+	results := make([]dispatcher.ClaimResult, 6)
+	var group errgroup.Group
+	for i := range results {
+		group.Go(func() error {
+			c := New("entry", platform.Table())
+			results[i] = c.Claim(t.Context(), claimOf(string(rune('a'+i))))
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	granted := 0
+	for _, r := range results {
+		if r == dispatcher.ClaimGranted {
+			granted++
+		} else {
+			assert.Equal(t, r, dispatcher.ClaimTaken)
+		}
+	}
+	assert.Equal(t, granted, 1)
+}
+
+func TestReleasedIDCanBeUsedAgain(t *testing.T) {
+	platform := faker.NewPlatform()
+	c := New("entry", platform.Table())
+	assert.Equal(t, c.Claim(t.Context(), claimOf("a")), dispatcher.ClaimGranted)
+	assert.NilError(t, c.Release(t.Context(), releaseOf("a")))
+	assert.Equal(t, c.Claim(t.Context(), claimOf("b")), dispatcher.ClaimGranted)
+	// A late release of the first claim must not free the second.
+	assert.NilError(t, c.Release(t.Context(), releaseOf("a")))
+	assert.Equal(t, c.Claim(t.Context(), claimOf("c")), dispatcher.ClaimTaken)
+}
+
+func TestClaimWhoseAnswerIsLost(t *testing.T) {
+	t.Run("is settled when the table answers again", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		c := New("entry", platform.Table())
+		platform.SetFaults(faker.PlatformFaults{LoseAnswers: 2})
+		assert.Equal(t, c.Claim(t.Context(), claimOf("a")), dispatcher.ClaimGranted)
+	})
+	t.Run("is released in the background", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		c := New("entry", platform.Table())
+		platform.SetFaults(faker.PlatformFaults{LoseAnswers: 1_000_000})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		assert.Equal(t, c.Claim(ctx, claimOf("a")), dispatcher.ClaimUnavailable)
+		platform.SetFaults(faker.PlatformFaults{})
+		assert.NilError(t, c.Release(t.Context(), releaseOf("a")))
+		assert.Equal(t, c.Claim(t.Context(), claimOf("b")), dispatcher.ClaimGranted)
+	})
+	t.Run("an outage grants nothing", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		c := New("entry", platform.Table())
+		platform.SetFaults(faker.PlatformFaults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		assert.Equal(t, c.Claim(ctx, claimOf("a")), dispatcher.ClaimUnavailable)
+	})
+}
--- a/pkg/demonstrator/documents.go
+++ b/pkg/demonstrator/documents.go
@@ -3,80 +3,20 @@
 // check every answer.
 package demonstrator
 
-import "time"
+import (
+	_ "embed"
+	"time"
+)
 
 // documentPolls is the document of the first user's service.
-const documentPolls = `service = "central-polls"
-team = "condor"
-
-[endpoint]
-slots = 8
-connections = 64
-
-[[kind]]
-name = "list-check"
-urgency = 9
-deadline = "2s"
-run-time = "20ms"
-idempotent = true
-floor = 0.5
-ceiling = 1.0
-lend-limit = "100ms"
-max-queued = 2000
-
-[[kind]]
-name = "dial"
-urgency = 7
-deadline = "4s"
-run-time = "50ms"
-idempotent = false
-floor = 0.1
-ceiling = 0.5
-lend-limit = "100ms"
-max-queued = 1000
-
-[[kind]]
-name = "dialer-feed"
-urgency = 3
-deadline = "10s"
-run-time = "400ms"
-idempotent = true
-floor = 0.1
-ceiling = 0.5
-lend-limit = "1s"
-max-queued = 500
-`
+//
+//go:embed central-polls.toml
+var documentPolls string
 
 // documentReader is the document of the second user's service.
-const documentReader = `service = "recovery-reader"
-team = "lisciva"
-
-[endpoint]
-slots = 8
-connections = 64
-
-[[kind]]
-name = "liquor-check"
-urgency = 9
-deadline = "2s"
-run-time = "20ms"
-idempotent = true
-floor = 0.4
-ceiling = 1.0
-lend-limit = "100ms"
-max-queued = 2000
-
-[[kind]]
-name = "trend-review"
-urgency = 2
-deadline = "20s"
-run-time = "500ms"
-idempotent = true
-floor = 0.2
-ceiling = 0.6
-lend-limit = "1s"
-max-queued = 500
-`
+//
+//go:embed recovery-reader.toml
+var documentReader string
 
 // site is one user's part of the demo.
 type site struct {
--- /dev/null
+++ b/pkg/linker/link_test.go
@@ -0,0 +1,231 @@
+package linker
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gobwas/ws"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// faultyConn is one end of a pipe that can lose what is written to it.
+type faultyConn struct {
+	net.Conn
+	swallow atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *faultyConn) Write(p []byte) (int, error) {
+	if c.swallow.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// ends are the two ends of a link over a pipe, still to be greeted.
+type ends struct {
+	entryConn, agentConn *faultyConn
+	entry, agent         *frameConn
+}
+
+func newEnds(t *testing.T) *ends {
+	t.Helper()
+	fr, err := framer.New()
+	assert.NilError(t, err)
+	left, right := net.Pipe()
+	e := &ends{
+		entryConn: &faultyConn{Conn: left},
+		agentConn: &faultyConn{Conn: right},
+	}
+	e.entry = newFrameConn(e.entryConn, nil, fr, true)
+	e.agent = newFrameConn(e.agentConn, nil, fr, false)
+	return e
+}
+
+// greeted opens both ends.
+func (e *ends) greeted(t *testing.T) (*Link, *Link) {
+	t.Helper()
+	var entry, agent *Link
+	var group errgroup.Group
+	group.Go(func() error {
+		var err error
+		entry, err = openPipe(e.entry, true)
+		return err
+	})
+	group.Go(func() error {
+		var err error
+		agent, err = openPipe(e.agent, false)
+		return err
+	})
+	assert.NilError(t, group.Wait())
+	return entry, agent
+}
+
+// openPipe greets over a pipe, which has no buffer: writing and reading the
+// hellos must overlap.
+func openPipe(c *frameConn, dialled bool) (*Link, error) {
+	if dialled {
+		return open(c, framer.Hello{Role: framer.RoleEntry, Address: "entry"}, true)
+	}
+	f, err := c.read()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.write(framer.Frame{Hello: &framer.Hello{Version: framer.ProtocolVersion, Role: framer.RoleAgent, Address: "agent"}}); err != nil {
+		return nil, err
+	}
+	if err := c.flush(); err != nil {
+		return nil, err
+	}
+	return &Link{
+		Peer:    *f.Hello,
+		conn:    c,
+		out:     make(chan framer.Frame, queuedFrames),
+		done:    make(chan struct{}),
+		leaving: make(chan struct{}),
+	}, nil
+}
+
+func TestSilenceIsFound(t *testing.T) {
+	cases := map[string]func(e *ends){
+		"nothing reaches the agent": func(e *ends) { e.entryConn.swallow.Store(true) },
+		"nothing reaches the entry": func(e *ends) { e.agentConn.swallow.Store(true) },
+		"nothing either way": func(e *ends) {
+			e.entryConn.swallow.Store(true)
+			e.agentConn.swallow.Store(true)
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEnds(t)
+				entry, agent := e.greeted(t)
+				entry.Busy = func() bool { return true }
+				var group errgroup.Group
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				group.Go(func() error {
+					// The agent's end ends when the entry closes it.
+					_ = agent.Run(ctx, func(framer.Frame) {})
+					return nil
+				})
+				group.Go(func() error {
+					time.Sleep(2 * time.Second)
+					fault(e)
+					return nil
+				})
+				started := time.Now()
+				err := entry.Run(ctx, func(framer.Frame) {})
+				took := time.Since(started) - 2*time.Second
+				var silent *SilentError
+				assert.Assert(t, errors.As(err, &silent), "got %v", err)
+				assert.Assert(t, took <= BusyInterval+EchoLimit+2*watchInterval, "found after %s", took)
+				cancel()
+				assert.NilError(t, group.Wait())
+			})
+		})
+	}
+}
+
+func TestQuietLinkLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry, agent := newEnds(t).greeted(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var group errgroup.Group
+		group.Go(func() error { return agent.Run(ctx, func(framer.Frame) {}) })
+		group.Go(func() error { return entry.Run(ctx, func(framer.Frame) {}) })
+		assert.ErrorIs(t, group.Wait(), context.DeadlineExceeded)
+	})
+}
+
+func TestBrokenPeersEndTheLink(t *testing.T) {
+	cases := map[string]struct {
+		bytes []byte
+		typed bool
+	}{
+		"text frame":       {bytes: ws.MustCompileFrame(ws.NewTextFrame([]byte("x"))), typed: true},
+		"fragment":         {bytes: ws.MustCompileFrame(ws.NewFrame(ws.OpBinary, false, []byte("x"))), typed: true},
+		"masked by server": {bytes: ws.MustCompileFrame(ws.MaskFrame(ws.NewBinaryFrame([]byte("x")))), typed: true},
+		"huge length":      {bytes: []byte{0x82, 127, 0, 0, 0, 1, 0, 0, 0, 0}, typed: true},
+		"cut mid-frame":    {bytes: []byte{0x82, 10, 1, 2, 3}},
+		"close":            {bytes: ws.CompiledClose},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEnds(t)
+			var group errgroup.Group
+			group.Go(func() error {
+				if _, err := e.agentConn.Conn.Write(c.bytes); err != nil && !errors.Is(err, io.ErrClosedPipe) {
+					return err
+				}
+				return e.agentConn.Close()
+			})
+			_, err := e.entry.read()
+			assert.Assert(t, err != nil)
+			var protocol *ProtocolError
+			assert.Equal(t, errors.As(err, &protocol), c.typed, "got %v", err)
+			assert.NilError(t, e.entryConn.Close())
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
+
+func TestOtherVersionsAreRefused(t *testing.T) {
+	e := newEnds(t)
+	var group errgroup.Group
+	group.Go(func() error {
+		if _, err := e.agent.read(); err != nil {
+			return err
+		}
+		if err := e.agent.write(framer.Frame{Hello: &framer.Hello{Version: 99}}); err != nil {
+			return err
+		}
+		return e.agent.flush()
+	})
+	_, err := open(e.entry, framer.Hello{}, true)
+	var protocol *ProtocolError
+	assert.Assert(t, errors.As(err, &protocol), "got %v", err)
+	assert.NilError(t, group.Wait())
+}
+
+func TestFinishDeliversWhatIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry, agent := newEnds(t).greeted(t)
+		received := 0
+		var group errgroup.Group
+		group.Go(func() error {
+			// It ends when the agent has finished.
+			_ = entry.Run(t.Context(), func(f framer.Frame) {
+				if f.Load != nil {
+					received++
+				}
+			})
+			return nil
+		})
+		group.Go(func() error {
+			_ = agent.Run(t.Context(), func(framer.Frame) {})
+			return nil
+		})
+		for range 100 {
+			assert.Assert(t, agent.Send(framer.Frame{Load: &framer.Load{}}))
+		}
+		agent.Finish()
+		assert.NilError(t, group.Wait())
+		assert.Equal(t, received, 100)
+	})
+}
--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -248,7 +248,7 @@
 	}
 	for i, line := range commit.Audit {
 		tx.Writes = append(tx.Writes, storer.Write{
-			Key:   "audit/" + strconv.FormatInt(line.At.UnixNano(), 10) + "/" + tx.ID + "/" + strconv.Itoa(i),
+			Key:   publisher.AuditKey(line.At, tx.ID+"/"+strconv.Itoa(i)),
 			Value: encode(line),
 		})
 	}
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -34,10 +34,10 @@
 	fromInbox bool
 	// counted is set while the task counts against its team's quota.
 	counted bool
+	// avoid is the worker on which the task failed last.
+	avoid string
 	// confirmed is set once the worker reported this start.
 	confirmed bool
-	// throttled is set while the worker holds the task back.
-	throttled bool
 }
 
 // Cell decides for the workers and tasks of one cell, on behalf of its owner.
@@ -319,6 +319,7 @@
 
 func (c *Cell) failed(w *worker, e *entry) {
 	e.Failures++
+	e.avoid = w.address
 	if w.noteFailure(c.now, e.Spec.ID) {
 		c.note("worker set aside", e, w.address, w.setAsideUntil.Format(time.RFC3339), "it failed several tasks in a row")
 	}
@@ -368,7 +369,7 @@
 	if len(fitting) == 0 {
 		return false
 	}
-	w := c.workers[c.Choose(&e.Task, fitting).Address]
+	w := c.workers[c.Choose(&e.Task, withoutAvoided(fitting, e.avoid)).Address]
 	if len(w.failedTasks) >= failuresToSetAside {
 		w.onTrial = true
 	}
@@ -498,6 +499,14 @@
 	)
 }
 
+// withoutAvoided leaves a worker out unless it is the only one.
+func withoutAvoided(fitting []Candidate, avoid string) []Candidate {
+	if avoid == "" || len(fitting) == 1 {
+		return fitting
+	}
+	return slices.DeleteFunc(fitting, func(c Candidate) bool { return c.Address == avoid })
+}
+
 // bestFit takes the worker that is left with the least free processors, which
 // keeps large gaps for large tasks.
 func bestFit(_ *Task, fitting []Candidate) Candidate {
--- /dev/null
+++ b/pkg/placer/cell_test.go
@@ -0,0 +1,279 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+var capacity = publisher.Resources{
+	ProcessorMillis: 30_000,
+	MemoryBytes:     125 << 30,
+	Accelerators:    2,
+}
+
+func fatal(t testing.TB) *asserter.Asserter {
+	return asserter.New(func(name string, pairs ...any) { t.Fatalf("invariant %s broken: %v", name, pairs) })
+}
+
+// testCell returns a cell whose workers have reported themselves empty.
+func testCell(t testing.TB, workers int) *Cell {
+	var addresses []string
+	for i := range workers {
+		addresses = append(addresses, fmt.Sprintf("worker-%03d", i))
+	}
+	c := NewCell(start, "cell-1", 1, addresses, fatal(t))
+	for _, address := range addresses {
+		c.Reported(start, address, reportOf(1))
+	}
+	return c
+}
+
+func reportOf(incarnation uint64, tasks ...TaskReport) Report {
+	return Report{
+		Incarnation: incarnation,
+		ClockMillis: 1000,
+		Capacity:    capacity,
+		Tasks:       tasks,
+	}
+}
+
+func spec(id string, millis int64) Spec {
+	return Spec{
+		ID:    "cell-1/" + id,
+		Team:  "condor",
+		Class: ClassBatch,
+		Needs: publisher.Resources{
+			ProcessorMillis: millis,
+			MemoryBytes:     1 << 30,
+		},
+		RunTimeMillis: 1000,
+	}
+}
+
+// committed writes all changes at once.
+func committed(c *Cell, now time.Time) {
+	for {
+		commit, ok := c.Commit()
+		if !ok {
+			return
+		}
+		c.Committed(now, commit)
+	}
+}
+
+func stateOf(t *testing.T, c *Cell, id string) State {
+	t.Helper()
+	task, ok := c.Task("cell-1/" + id)
+	assert.Assert(t, ok, "%s is not known", id)
+	return task.State
+}
+
+func TestNothingStartsBeforeItsRowIsWritten(t *testing.T) {
+	c := testCell(t, 1)
+	c.Accept(start, spec("a", 1000), start)
+	c.Tick(start)
+	assert.Equal(t, len(c.Sync(start, "worker-000", true).Commands), 0)
+	committed(c, start)
+	commands := c.Sync(start, "worker-000", true).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, commands[0].Kind, CommandStart)
+	assert.Equal(t, len(c.Sync(start, "worker-000", false).Commands), 0)
+}
+
+func TestTaskThatFitsNoWorkerIsRefusedAtOnce(t *testing.T) {
+	c := testCell(t, 3)
+	s := spec("huge", 1000)
+	s.Needs.Accelerators = 3
+	c.Accept(start, s, start)
+	task, _ := c.Task(s.ID)
+	assert.Equal(t, task.State, StateFailed)
+	assert.Equal(t, task.Reason, "fits no worker of the cell: accelerators")
+}
+
+func TestUrgentTasksGoFirst(t *testing.T) {
+	c := testCell(t, 1)
+	c.Accept(start, spec("batch", 20_000), start)
+	urgent := spec("urgent", 20_000)
+	urgent.Urgency = 9
+	c.Accept(start, urgent, start.Add(time.Second))
+	c.Tick(start)
+	assert.Equal(t, stateOf(t, c, "urgent"), StatePlaced)
+	assert.Equal(t, stateOf(t, c, "batch"), StateAccepted)
+}
+
+func TestFailingTaskIsNotRetriedForEver(t *testing.T) {
+	c := testCell(t, 5)
+	c.Accept(start, spec("bad", 1000), start)
+	last := ""
+	for range maxFailures {
+		c.Tick(start)
+		committed(c, start)
+		task, _ := c.Task("cell-1/bad")
+		assert.Assert(t, task.Worker != last, "tried again on the worker it just failed on")
+		last = task.Worker
+		c.Reported(start, task.Worker, reportOf(1, TaskReport{ID: "cell-1/bad", Start: task.Start, State: RunFailed}))
+	}
+	assert.Equal(t, stateOf(t, c, "bad"), StateFailed)
+}
+
+func TestFailingWorkerIsSetAside(t *testing.T) {
+	c := testCell(t, 2)
+	c.Choose = func(_ *Task, fitting []Candidate) Candidate { return fitting[0] }
+	for i := range failuresToSetAside {
+		id := fmt.Sprintf("t%d", i)
+		c.Accept(start, spec(id, 1000), start)
+		c.Tick(start)
+		committed(c, start)
+		task, _ := c.Task("cell-1/" + id)
+		assert.Equal(t, task.Worker, "worker-000")
+		c.Reported(start, task.Worker, reportOf(1, TaskReport{ID: "cell-1/" + id, Start: 1, State: RunFailed}))
+	}
+	c.Accept(start, spec("next", 1000), start)
+	c.Tick(start)
+	task, _ := c.Task("cell-1/next")
+	assert.Equal(t, task.Worker, "worker-001")
+	c.Accept(start, spec("trial", 30_000), start)
+	later := start.Add(firstSetAside + time.Second)
+	c.Tick(later)
+	task, _ = c.Task("cell-1/trial")
+	assert.Equal(t, task.Worker, "worker-000")
+	c.Accept(later, spec("second", 1000), later)
+	c.Tick(later)
+	task, _ = c.Task("cell-1/second")
+	assert.Equal(t, task.Worker, "worker-001", "only one trial at a time")
+}
+
+func TestLostWorker(t *testing.T) {
+	placed := func(t *testing.T) *Cell {
+		c := testCell(t, 2)
+		c.Accept(start, spec("a", 1000), start)
+		c.Tick(start)
+		committed(c, start)
+		c.Sync(start, "worker-000", true)
+		c.Unreachable(start, "worker-000")
+		return c
+	}
+	t.Run("its tasks wait for the end of its lease", func(t *testing.T) {
+		c := placed(t)
+		c.Tick(start.Add(TaskLease))
+		assert.Equal(t, stateOf(t, c, "a"), StatePlaced)
+		c.Tick(start.Add(TaskLease + 2*clockMargin))
+		task, _ := c.Task("cell-1/a")
+		assert.Equal(t, task.Worker, "worker-001")
+		assert.Equal(t, task.Start, 2)
+	})
+	t.Run("a new incarnation ends the wait", func(t *testing.T) {
+		c := placed(t)
+		c.Reported(start.Add(time.Second), "worker-000", reportOf(2))
+		assert.Equal(t, stateOf(t, c, "a"), StateAccepted)
+	})
+	t.Run("a new owner waits the horizon out", func(t *testing.T) {
+		c := NewCell(start, "cell-1", 2, []string{"worker-000", "worker-001"}, fatal(t))
+		c.Load(Task{Spec: spec("a", 1000), State: StatePlaced, Worker: "worker-000", WorkerIncarnation: 1, Start: 1}, 1)
+		c.Reported(start, "worker-001", reportOf(1))
+		c.Unreachable(start, "worker-000")
+		c.Tick(start.Add(9 * time.Minute))
+		assert.Equal(t, stateOf(t, c, "a"), StatePlaced)
+		c.Tick(start.Add(11 * time.Minute))
+		task, _ := c.Task("cell-1/a")
+		assert.Equal(t, task.Worker, "worker-001")
+	})
+}
+
+func TestEvictedTaskResumesOnce(t *testing.T) {
+	c := testCell(t, 2)
+	c.Accept(start, spec("a", 1000), start)
+	c.Tick(start)
+	committed(c, start)
+	c.Reported(start, "worker-000", reportOf(1, TaskReport{ID: "cell-1/a", Start: 1, State: RunRunning}))
+	c.Evict(start, "cell-1/a", "test")
+	stopped := reportOf(1, TaskReport{ID: "cell-1/a", Start: 1, State: RunStopped, Checkpoint: "checkpoint-1"})
+	c.Reported(start, "worker-000", stopped)
+	c.Reported(start, "worker-000", stopped)
+	c.Tick(start)
+	committed(c, start)
+	task, _ := c.Task("cell-1/a")
+	assert.Equal(t, task.Start, 2)
+	assert.Equal(t, task.Evictions, 1)
+	commands := c.Sync(start, task.Worker, true).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, commands[0].Checkpoint, "checkpoint-1")
+}
+
+func TestQuotaBoundsATeam(t *testing.T) {
+	c := testCell(t, 4)
+	c.SetQuota("condor", publisher.Resources{ProcessorMillis: 3000, MemoryBytes: 100 << 30})
+	for i := range 5 {
+		c.Accept(start, spec(fmt.Sprint(i), 1000), start)
+	}
+	c.Tick(start)
+	assert.Equal(t, c.Waiting(), 2)
+}
+
+// TestLedgerAgainstAModel compares the ledger with a plain sum.
+func TestLedgerAgainstAModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		broken := 0
+		l := NewLedger(asserter.New(func(string, ...any) { broken++ }), capacity)
+		model := map[string]publisher.Resources{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"commit": func(rt *rapid.T) {
+				id := rapid.StringMatching("[a-f]").Draw(rt, "id")
+				needs := publisher.Resources{
+					ProcessorMillis: rapid.Int64Range(0, 20_000).Draw(rt, "processor"),
+					MemoryBytes:     rapid.Int64Range(0, 80<<30).Draw(rt, "memory"),
+					Accelerators:    rapid.Int64Range(0, 2).Draw(rt, "accelerators"),
+				}
+				if _, held := model[id]; held || !l.Fits(needs) {
+					return
+				}
+				l.Commit(id, needs)
+				model[id] = needs
+			},
+			"release": func(rt *rapid.T) {
+				id := rapid.StringMatching("[a-f]").Draw(rt, "id")
+				_, held := model[id]
+				assert.Equal(rt, l.Release(id), held)
+				delete(model, id)
+			},
+			"": func(rt *rapid.T) {
+				var sum publisher.Resources
+				for _, needs := range model {
+					sum = add(sum, needs)
+				}
+				assert.Equal(rt, l.Sum(), sum)
+				assert.Assert(rt, within(sum, capacity))
+				assert.Equal(rt, broken, 0)
+			},
+		})
+	})
+}
+
+func BenchmarkPlaceOne(b *testing.B) {
+	for _, workers := range []int{10, 30, 100, 300} {
+		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) {
+			c := testCell(b, workers)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				s := spec(fmt.Sprint(i), 100)
+				c.Accept(start, s, start)
+				c.Tick(start)
+				committed(c, start)
+				task, _ := c.Task(s.ID)
+				c.Reported(start, task.Worker, reportOf(1, TaskReport{ID: s.ID, Start: 1, State: RunDone}))
+				committed(c, start)
+			}
+		})
+	}
+}
--- a/pkg/publisher/editor.go
+++ b/pkg/publisher/editor.go
@@ -174,7 +174,7 @@
 				}),
 			},
 			{
-				Key: AuditKey(now, edit.Service),
+				Key: AuditKey(now, fmt.Sprintf("%s/%d", edit.Service, version)),
 				Value: encodeRow(AuditRow{
 					At:      now,
 					Who:     edit.Who,
@@ -269,9 +269,9 @@
 	}, nil
 }
 
-// AuditKey orders audit rows by time.
-func AuditKey(now time.Time, subject string) string {
-	return fmt.Sprintf("audit/%020d/%s/%s", now.UnixNano(), subject, uuid.NewString())
+// AuditKey orders audit rows by time; id tells rows of one time apart.
+func AuditKey(now time.Time, id string) string {
+	return fmt.Sprintf("audit/%020d/%s", now.UnixNano(), id)
 }
 
 func documentKey(service string) string {
--- /dev/null
+++ b/pkg/publisher/publisher_test.go
@@ -0,0 +1,188 @@
+package publisher_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+const goodDocument = `service = "reader"
+team = "lisciva"
+[endpoint]
+slots = 8
+connections = 64
+[[kind]]
+name = "check"
+urgency = 9
+deadline = "2s"
+run-time = "20ms"
+idempotent = true
+floor = 0.5
+ceiling = 1.0
+lend-limit = "100ms"
+max-queued = 100
+`
+
+var now = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func TestWrongDocumentsNameTheField(t *testing.T) {
+	cases := map[string]struct{ from, to, field string }{
+		"name":         {`service = "reader"`, `service = "Reader!"`, "service"},
+		"slots":        {"slots = 8", "slots = 0", "endpoint.slots"},
+		"connections":  {"connections = 64", "connections = 4", "endpoint.connections"},
+		"urgency":      {"urgency = 9", "urgency = 10", "kind[0].urgency"},
+		"deadline":     {`deadline = "2s"`, `deadline = "0s"`, "kind[0].deadline"},
+		"run time":     {`run-time = "20ms"`, `run-time = "3s"`, "kind[0].run-time"},
+		"floor":        {"floor = 0.5", "floor = 1.5", "kind[0].floor"},
+		"ceiling":      {"ceiling = 1.0", "ceiling = 0.1", "kind[0].ceiling"},
+		"queue":        {"max-queued = 100", "max-queued = 0", "kind[0].max-queued"},
+		"unknown key":  {"slots = 8", "slots = 8\nslotz = 9", "endpoint.slotz"},
+		"wrong type":   {"slots = 8", `slots = "many"`, "endpoint.slots"},
+		"no kinds":     {goodDocument[strings.Index(goodDocument, "[[kind]]"):], "", "kind (count)"},
+		"twice a kind": {"[[kind]]", strings.ReplaceAll(goodDocument[strings.Index(goodDocument, "[[kind]]"):], "0.5", "0.1") + "[[kind]]", "kind[1].name"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := publisher.Parse(strings.Replace(goodDocument, c.from, c.to, 1))
+			var field *publisher.FieldError
+			assert.Assert(t, errors.As(err, &field), "got %v", err)
+			assert.Equal(t, field.Field, c.field)
+			assert.Assert(t, field.Allowed != "")
+		})
+	}
+	t.Run("a good one passes", func(t *testing.T) {
+		_, err := publisher.Parse(goodDocument)
+		assert.NilError(t, err)
+	})
+}
+
+func edit(base uint64, who string) publisher.Edit {
+	return publisher.Edit{
+		Service: "reader",
+		Base:    base,
+		Text:    goodDocument + "# by " + who + "\n",
+		Who:     who,
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	platform := faker.NewPlatform()
+	editor := publisher.NewEditor(platform.Table())
+	_, err := editor.Apply(t.Context(), now, edit(0, "first"))
+	assert.NilError(t, err)
+	results := make([]error, 8)
+	var group errgroup.Group
+	for i := range results {
+		group.Go(func() error {
+			_, results[i] = editor.Apply(t.Context(), now, edit(1, string(rune('a'+i))))
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	accepted := 0
+	for _, err := range results {
+		var stale *publisher.StaleEditError
+		switch {
+		case err == nil:
+			accepted++
+		case errors.As(err, &stale):
+			assert.Equal(t, stale.Current.Version, uint64(2))
+			assert.Assert(t, strings.Contains(stale.Current.Text, "# by "))
+		default:
+			t.Fatal(err)
+		}
+	}
+	assert.Equal(t, accepted, 1)
+	trail, err := editor.Audit(t.Context(), "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(trail), 2)
+}
+
+func TestLostAnswerOfAnEdit(t *testing.T) {
+	t.Run("ends known and not doubled", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		editor := publisher.NewEditor(platform.Table())
+		platform.SetFaults(faker.PlatformFaults{LoseAnswers: 3})
+		doc, err := editor.Apply(t.Context(), now, edit(0, "one"))
+		assert.NilError(t, err)
+		assert.Equal(t, doc.Version, uint64(1))
+		history, err := editor.History(t.Context(), "reader")
+		assert.NilError(t, err)
+		assert.Equal(t, len(history), 1)
+	})
+	t.Run("is told as open when no answer comes in time", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		editor := publisher.NewEditor(platform.Table())
+		platform.SetFaults(faker.PlatformFaults{LoseAnswers: 1_000_000})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := editor.Apply(ctx, now, edit(0, "one"))
+		var unavailable *storer.UnavailableError
+		assert.Assert(t, errors.As(err, &unavailable))
+		assert.Assert(t, unavailable.MayHaveTakenEffect)
+	})
+	t.Run("an edit during an outage is refused as without effect", func(t *testing.T) {
+		platform := faker.NewPlatform()
+		editor := publisher.NewEditor(platform.Table())
+		platform.SetFaults(faker.PlatformFaults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := editor.Apply(ctx, now, edit(0, "one"))
+		var unavailable *storer.UnavailableError
+		assert.Assert(t, errors.As(err, &unavailable))
+		assert.Assert(t, !unavailable.MayHaveTakenEffect)
+	})
+}
+
+func TestLogTellsOfEveryChange(t *testing.T) {
+	platform := faker.NewPlatform()
+	editor := publisher.NewEditor(platform.Table())
+	for base := range uint64(3) {
+		_, err := editor.Apply(t.Context(), now, edit(base, "one"))
+		assert.NilError(t, err)
+	}
+	documents, place, err := editor.Since(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, place, uint64(3))
+	assert.Equal(t, len(documents), 1)
+	assert.Equal(t, documents[0].Version, uint64(3))
+	documents, _, err = editor.Since(t.Context(), place)
+	assert.NilError(t, err)
+	assert.Equal(t, len(documents), 0)
+}
+
+func TestShelfNeverGoesBack(t *testing.T) {
+	broken := 0
+	shelf := publisher.NewShelf(asserter.New(func(string, ...any) { broken++ }))
+	put := func(version uint64, text string) bool {
+		fresh, err := shelf.Put(framer.Document{
+			Service: "reader",
+			Version: version,
+			Text:    text,
+		})
+		assert.NilError(t, err)
+		return fresh
+	}
+	assert.Assert(t, put(2, goodDocument))
+	assert.Assert(t, !put(1, goodDocument))
+	assert.Assert(t, !put(2, goodDocument))
+	doc, _ := shelf.Get("reader")
+	assert.Equal(t, doc.Version, uint64(2))
+	before := shelf.Digest()
+	assert.Assert(t, put(3, goodDocument))
+	assert.Assert(t, shelf.Digest() != before)
+	assert.Equal(t, broken, 0)
+	put(3, goodDocument+"# another text\n")
+	assert.Equal(t, broken, 1)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -44,8 +44,8 @@
 guard release-only-unrun pkg/dispatcher/dispatcher.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.act(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $world $random
 guard slots-bound-the-gate pkg/gatekeeper/gate.go 's/free := g.plan.Slots - g.total/free := 99/' $world $random
 guard leaving-gate-refuses pkg/gatekeeper/gate.go 's/if g.leaving \{/if false {/' $world $random
-guard silence-is-seen pkg/linker/watch.go 's/return w.pending != 0 .*/return false/' $world $random
-guard whole-answers-only pkg/dispatcher/dispatcher.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' $world $random
+guard silence-is-seen pkg/linker/watch.go 's/return w.pending != 0 .*/return false/' pkg/linker TestSilenceIsFound
+guard whole-answers-only pkg/dispatcher/dispatcher.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestAnswersAreWholeOrNotAtAll
 cell='TestCellUnderFaults'
 guard cell-row-guards-commits pkg/overseer/core.go '/^func \(c \*Core\) send/,/^\}/s/Key:    CellKey\(c.cfg.Cell\),/Key: CellKey(c.cfg.Cell) + tx0(c.serial),/; $a func tx0(n uint64) string { return strconv.FormatUint(n, 10) }' $world $cell
 guard takeover-waits-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now/' $world $cell
