--- a/pkg/commander/operators.go
+++ b/pkg/commander/operators.go
@@ -263,10 +263,12 @@
 
 // changeRefused gives a refused change its exit code.
 func changeRefused(reply operator.Reply) error {
-	const firstRefusal, conflict = 300, 409
+	const firstRefusal, badRequest, conflict = 300, 400, 409
 	switch {
 	case reply.Status < firstRefusal:
 		return nil
+	case reply.Status == badRequest:
+		return usage(reply.Error())
 	case reply.Status == conflict:
 		return &CodeError{
 			Code:    exitConflict,
--- /dev/null
+++ b/pkg/commander/processes_test.go
@@ -0,0 +1,380 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/operator"
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/receiver"
+)
+
+// system is the whole system as separate processes on loopback.
+type system struct {
+	t         *testing.T
+	dir       string
+	binary    string
+	platform  string
+	entries   []string
+	endpoints []string
+	processes map[string]*exec.Cmd
+	client    *operator.Client
+}
+
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{
+		t:         t,
+		dir:       t.TempDir(),
+		processes: map[string]*exec.Cmd{},
+	}
+	s.binary = filepath.Join(s.dir, "bilberrywalk")
+	out, err := exec.Command("go", "build", "-o", s.binary, "../..").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	t.Cleanup(s.killAll)
+	s.platform = freePort(t)
+	s.launch("platform", "stand-in", "platform", "--address", s.platform)
+	var workers []string
+	for i := range 2 {
+		workers = append(workers, freePort(t))
+		s.launch(fmt.Sprintf("worker-%d", i), "stand-in", "worker", "--address", workers[i])
+	}
+	for range 3 {
+		s.entries = append(s.entries, freePort(t))
+	}
+	for i := range s.entries {
+		s.write(fmt.Sprintf("entry-%d.toml", i), fmt.Sprintf("address = %q\nfailure-domain = \"quito-norte\"\njoin = %s\nplatform = %q\n[entry]\nworkers = %s\n",
+			s.entries[i], list(s.entries), s.platform, list(workers)))
+		s.launchEntry(i)
+	}
+	for i := range 4 {
+		s.endpoints = append(s.endpoints, freePort(t))
+		s.launch(fmt.Sprintf("endpoint-%d", i), "stand-in", "endpoint", "--address", s.endpoints[i], "--run-time", "list-check=20ms;dial=50ms;dialer-feed=400ms")
+		s.write(fmt.Sprintf("agent-%d.toml", i), fmt.Sprintf("address = %q\nfailure-domain = \"quito-norte\"\njoin = %s\nleave-grace = \"5s\"\n[agent]\nservice = \"central-polls\"\nendpoint = %q\n",
+			freePort(t), list(s.entries), s.endpoints[i]))
+		s.launchAgent(i)
+	}
+	s.client, err = operator.New(s.entries)
+	assert.NilError(t, err)
+	s.publish()
+	return s
+}
+
+func (s *system) launchEntry(i int) {
+	s.launch(fmt.Sprintf("entry-%d", i), "entry", "--settings", filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i)))
+}
+
+func (s *system) launchAgent(i int) {
+	s.launch(fmt.Sprintf("agent-%d", i), "agent", "--settings", filepath.Join(s.dir, fmt.Sprintf("agent-%d.toml", i)))
+}
+
+func (s *system) launch(name string, args ...string) {
+	s.t.Helper()
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(s.t, err)
+	defer log.Close()
+	cmd := exec.Command(s.binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(s.t, cmd.Start())
+	s.processes[name] = cmd
+}
+
+func (s *system) signal(name string, sig syscall.Signal) {
+	s.t.Helper()
+	assert.NilError(s.t, s.processes[name].Process.Signal(sig))
+}
+
+// kill ends a process at once and waits for its end.
+func (s *system) kill(name string) {
+	s.t.Helper()
+	s.signal(name, syscall.SIGKILL)
+	// Its error says that it was killed.
+	_ = s.processes[name].Wait()
+}
+
+func (s *system) killAll() {
+	for _, cmd := range s.processes {
+		if cmd.ProcessState == nil {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+	}
+	if !s.t.Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	for _, path := range logs {
+		data, _ := os.ReadFile(path)
+		s.t.Logf("%s:\n%s", filepath.Base(path), data[max(0, len(data)-2000):])
+	}
+}
+
+func (s *system) write(name, text string) {
+	s.t.Helper()
+	assert.NilError(s.t, os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600))
+}
+
+// publish applies the document and waits until requests are answered.
+func (s *system) publish() {
+	text, err := os.ReadFile("../demonstrator/central-polls.toml")
+	assert.NilError(s.t, err)
+	s.until(func() error {
+		reply, err := s.client.Do(s.t.Context(), operator.Call{
+			Method: "PUT",
+			Path:   "/v1/services/central-polls/document?base=0",
+			Body:   text,
+		})
+		if err == nil && reply.Status != 200 && reply.Status != 409 {
+			err = reply.Error()
+		}
+		return err
+	})
+	for i := range s.entries {
+		s.until(func() error {
+			var list []receiver.EndpointBody
+			if err := s.at(i).Get(s.t.Context(), "/v1/endpoints", &list); err != nil {
+				return err
+			}
+			if len(list) < 4 {
+				return fmt.Errorf("entry %d knows %d endpoints", i, len(list))
+			}
+			return nil
+		})
+	}
+}
+
+// at returns a client of one entry.
+func (s *system) at(i int) *operator.Client {
+	client, err := operator.New(s.entries[i : i+1])
+	assert.NilError(s.t, err)
+	return client
+}
+
+// until repeats f until it returns no error.
+func (s *system) until(f func() error) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if err := f(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// runs tells how often each body ran, over all endpoints.
+func (s *system) runs() map[string]int {
+	sum := map[string]int{}
+	for _, address := range s.endpoints {
+		client, err := operator.New([]string{address})
+		assert.NilError(s.t, err)
+		var report faker.EndpointReport
+		assert.NilError(s.t, client.Get(s.t.Context(), "/report", &report))
+		assert.Assert(s.t, report.MaxRunning <= 8, "%s ran %d at once", address, report.MaxRunning)
+		for digest, n := range report.Runs {
+			sum[digest] += n
+		}
+	}
+	return sum
+}
+
+// asked is a request that was sent and what its caller was told.
+type asked struct {
+	kind    string
+	digest  string
+	outcome string
+	right   bool
+}
+
+// TestProcessesUnderKillsAndFreezes runs the system as processes, kills and
+// freezes some under load, and holds every outcome against what truly ran.
+func TestProcessesUnderKillsAndFreezes(t *testing.T) {
+	s := startSystem(t)
+	submitTestJobs(t, s)
+	var mu sync.Mutex
+	var all []asked
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	for caller := range 12 {
+		group.Go(func() error {
+			client := s.at(caller % len(s.entries))
+			for n := 0; ctx.Err() == nil; n++ {
+				a := ask(client, caller, n)
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	step := func(f func()) {
+		time.Sleep(700 * time.Millisecond)
+		f()
+	}
+	step(func() { s.signal("agent-0", syscall.SIGSTOP) })
+	step(func() { s.kill("agent-1") })
+	step(func() { s.launchAgent(1) })
+	step(func() { s.signal("agent-0", syscall.SIGCONT) })
+	step(func() { s.kill("entry-0") })
+	step(func() { s.launchEntry(0) })
+	step(func() { s.signal("entry-1", syscall.SIGSTOP) })
+	step(func() { s.signal("entry-1", syscall.SIGCONT) })
+	step(stop)
+	assert.NilError(t, group.Wait())
+	s.until(func() error { return jobsDone(t, s) })
+	checkAsked(t, all, s.runs())
+}
+
+func submitTestJobs(t *testing.T, s *system) {
+	for i := range 8 {
+		body, err := json.Marshal(placer.Spec{
+			ID:            fmt.Sprintf("review-%d", i),
+			Team:          "lisciva",
+			Needs:         testNeeds(),
+			RunTimeMillis: 2000,
+		})
+		assert.NilError(t, err)
+		reply, err := s.client.Do(t.Context(), operator.Call{
+			Method: "POST",
+			Path:   "/v1/jobs",
+			Body:   body,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Status, 202, string(reply.Body))
+	}
+}
+
+func jobsDone(t *testing.T, s *system) error {
+	var tasks []placer.Task
+	if err := s.client.Get(t.Context(), "/v1/jobs", &tasks); err != nil {
+		return err
+	}
+	done := 0
+	for _, task := range tasks {
+		if task.State == placer.StateDone {
+			done++
+		}
+	}
+	if done < 8 {
+		return fmt.Errorf("%d of 8 jobs are done", done)
+	}
+	return nil
+}
+
+// ask sends one request; an entry that can't be reached shows as no outcome.
+func ask(client *operator.Client, caller, n int) asked {
+	kind := []string{"list-check", "list-check", "dial"}[n%3]
+	body := fmt.Appendf(nil, "%s-%d-%d", kind, caller, n)
+	sum := sha256.Sum256(body)
+	a := asked{
+		kind:   kind,
+		digest: hex.EncodeToString(sum[:]),
+	}
+	reply, err := client.Do(context.Background(), operator.Call{
+		Method: "POST",
+		Path:   "/v1/services/central-polls/requests",
+		Headers: map[string]string{
+			"Bilberrywalk-Kind": kind,
+			"Idempotency-Key":   string(body),
+		},
+		Body: body,
+		Once: true,
+	})
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+		return a
+	}
+	a.outcome = reply.Outcome
+	a.right = bytes.Contains(reply.Body, []byte(a.digest))
+	return a
+}
+
+func checkAsked(t *testing.T, all []asked, runs map[string]int) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, a := range all {
+		counts[a.kind+" "+a.outcome]++
+		switch a.outcome {
+		case "answered":
+			assert.Assert(t, a.right, "a wrong answer to %+v", a)
+			assert.Assert(t, runs[a.digest] >= 1, "%+v was answered but never ran", a)
+		case "not-run":
+			assert.Equal(t, runs[a.digest], 0, "%+v ran", a)
+		}
+		if a.kind == "dial" {
+			assert.Assert(t, runs[a.digest] <= 1, "%+v ran %d times", a, runs[a.digest])
+		}
+	}
+	t.Logf("%d requests: %v", len(all), counts)
+	assert.Assert(t, counts["list-check answered"] > counts["list-check unknown"])
+}
+
+// TestStopFinishesWorkInFlight stops an agent and an entry while they carry a
+// request, which must be answered, and looks at their exit codes.
+func TestStopFinishesWorkInFlight(t *testing.T) {
+	s := startSystem(t)
+	for i := 1; i < 4; i++ {
+		s.kill(fmt.Sprintf("agent-%d", i))
+	}
+	var group errgroup.Group
+	for range 4 {
+		group.Go(func() error {
+			reply, err := s.at(0).Do(t.Context(), operator.Call{
+				Method: "POST",
+				Path:   "/v1/services/central-polls/requests",
+				Headers: map[string]string{
+					"Bilberrywalk-Kind": "dialer-feed",
+				},
+				Body: []byte("feed"),
+				Once: true,
+			})
+			if err == nil && reply.Outcome != "answered" {
+				err = fmt.Errorf("%s: %s", reply.Outcome, reply.Body)
+			}
+			return err
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.signal("agent-0", syscall.SIGTERM)
+	s.signal("entry-0", syscall.SIGTERM)
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, s.processes["agent-0"].Wait())
+	assert.NilError(t, s.processes["entry-0"].Wait())
+}
+
+func list(addresses []string) string {
+	return `["` + strings.Join(addresses, `", "`) + `"]`
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func testNeeds() publisher.Resources {
+	return publisher.Resources{
+		ProcessorMillis: 4000,
+		MemoryBytes:     1 << 30,
+	}
+}
--- a/pkg/publisher/editor.go
+++ b/pkg/publisher/editor.go
@@ -232,6 +232,20 @@
 	return documents, nil
 }
 
+// Record adds a line to the audit trail.
+func (e *Editor) Record(ctx context.Context, line AuditRow) error {
+	ctx, cancel := context.WithTimeout(ctx, editLimit)
+	defer cancel()
+	id := uuid.NewString()
+	return e.committer.Commit(ctx, storer.Transaction{
+		ID: id,
+		Writes: []storer.Write{{
+			Key:   AuditKey(line.At, id),
+			Value: encodeRow(line),
+		}},
+	})
+}
+
 // Audit returns the audit trail, oldest first, after a key.
 func (e *Editor) Audit(ctx context.Context, after string) ([]AuditRow, error) {
 	rows, err := e.table.Scan(ctx, "audit/", after, scanLimit)
--- a/pkg/receiver/operators.go
+++ b/pkg/receiver/operators.go
@@ -43,6 +43,11 @@
 	Linked        bool               `json:"linked"`
 }
 
+// DrainBody answers a drain.
+type DrainBody struct {
+	Drained string `json:"drained"`
+}
+
 // StatusBody is an entry's state in the operators' interface.
 type StatusBody struct {
 	Address       string            `json:"address"`
@@ -238,10 +243,33 @@
 	case !asked:
 		server.Refuse(c, consts.StatusNotFound, errors.Newf("no link to an endpoint at %s; see the list of endpoints", c.Param("address")))
 	default:
-		c.JSON(consts.StatusOK, map[string]string{"drained": c.Param("address")})
+		e.recordDrain(c.Param("address"), string(c.GetHeader(headerWho)))
+		c.JSON(consts.StatusOK, DrainBody{
+			Drained: c.Param("address"),
+		})
 	}
 }
 
+// recordDrain adds a drain to the audit trail. A drain is not held up by the
+// platform: while that is down, only the log tells of it.
+func (e *Entry) recordDrain(address, who string) {
+	e.log.Info("endpoint drained", "address", address, "who", who)
+	e.group.Go(func() error {
+		err := e.editor.Record(e.ctx, publisher.AuditRow{
+			At:      time.Now(),
+			Who:     who,
+			What:    "drain",
+			Subject: address,
+			From:    string(framer.MemberServing),
+			To:      string(framer.MemberLeaving),
+		})
+		if err != nil {
+			e.log.Warn("drain not in the audit trail", "address", address, "error", err)
+		}
+		return nil
+	})
+}
+
 func (e *Entry) getStatus(ctx context.Context, c *app.RequestContext) {
 	body := StatusBody{
 		Address:       e.cfg.Address,
