--- a/pkg/admitter/kind_queue.go
+++ b/pkg/admitter/kind_queue.go
@@ -6,6 +6,15 @@
 )
 
 const (
+	// tailShare is the share of runs that the learnt tail must cover, and
+	// tailStep how fast it moves.
+	tailShare = 0.99
+	tailStep  = 0.1
+	// tailOfRunTime is the first tail, in expected run times.
+	tailOfRunTime = 3
+	// waitShare is the part of the time left that a request may be expected
+	// to spend in the queue: a longer queue only makes every answer later.
+	waitShare = 0.25
 	// paceWeight is the weight of the newest interval in the moving average.
 	paceWeight = 0.1
 	// paceSamples is how many departures the average needs before it is used.
@@ -22,6 +31,37 @@
 	interval   time.Duration
 	samples    int
 	lastDepart time.Time
+
+	// tail is the run time that few requests of the kind exceed.
+	tail time.Duration
+}
+
+// learn moves the tail by one run time: a quantile kept without samples.
+func (q *kindQueue) learn(took time.Duration) {
+	move := -tailStep * (1 - tailShare)
+	if took > q.tail {
+		move = tailStep * tailShare
+	}
+	q.tail += time.Duration(move * float64(q.tail))
+}
+
+// setRule puts a rule in force.
+func (q *kindQueue) setRule(rule Rule) {
+	q.rule = rule
+	if q.tail == 0 {
+		q.tail = max(time.Millisecond, tailOfRunTime*rule.RunTime)
+	}
+}
+
+// hopeless tells whether an item started now would likely miss its deadline.
+func (q *kindQueue) hopeless(now time.Time, item Item) bool {
+	return now.Add(q.tail).After(item.Deadline)
+}
+
+// overloaded tells whether the queue is too long for an item to join.
+func (q *kindQueue) overloaded(now time.Time, item Item) bool {
+	left := item.Deadline.Sub(now) - q.tail
+	return float64(q.wait(now)) > waitShare*float64(left)
 }
 
 // push inserts an item in its turn, which matters for a request that returns.
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -42,7 +42,7 @@
 		if k == nil {
 			k = &kindQueue{}
 		}
-		k.rule = rule
+		k.setRule(rule)
 		kinds = append(kinds, k)
 	}
 	for _, old := range q.kinds {
@@ -68,7 +68,7 @@
 			RetryAfter: wait,
 		}
 	}
-	if now.Add(wait + k.rule.RunTime).After(item.Deadline) {
+	if k.overloaded(now, item) {
 		return &RefusedError{
 			Reason:     framer.ReasonOverloaded,
 			RetryAfter: wait,
@@ -117,6 +117,14 @@
 	q.inFlight--
 }
 
+// Learn takes the time that a request of a kind took from its sending to its
+// answer, or to its deadline.
+func (q *Queue) Learn(kind string, took time.Duration) {
+	if k := q.kind(kind); k != nil {
+		k.learn(took)
+	}
+}
+
 // Remove takes a waiting request out; it tells whether the request waited.
 func (q *Queue) Remove(kind, id string) bool {
 	k := q.kind(kind)
@@ -133,7 +141,7 @@
 func (q *Queue) Hopeless(now time.Time) []Item {
 	var gone []Item
 	for _, k := range q.kinds {
-		for len(k.items) > 0 && !now.Add(k.rule.RunTime).Before(k.items[0].Deadline) {
+		for len(k.items) > 0 && k.hopeless(now, k.items[0]) {
 			gone = append(gone, k.items[0])
 			k.items = k.items[1:]
 		}
--- /dev/null
+++ b/pkg/commander/experiment.go
@@ -0,0 +1,108 @@
+package commander
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/experimenter"
+)
+
+// experimentCommand compares policies.
+type experimentCommand struct {
+	Seeds    int      `help:"How many seeds each scenario is run with." default:"3"`
+	Scenario []string `help:"Only scenarios whose name starts like this."`
+	Policy   []string `help:"Only these policies."`
+	Parallel int      `help:"How many runs go at once." default:"3"`
+	JSON     bool     `help:"Print every run as JSON." name:"json"`
+}
+
+// Run implements the command.
+func (cmd experimentCommand) Run(s *streams) error {
+	var mu sync.Mutex
+	var results []experimenter.Result
+	var group errgroup.Group
+	group.SetLimit(cmd.Parallel)
+	for _, scenario := range experimenter.Scenarios() {
+		if !cmd.wants(scenario.Name) {
+			continue
+		}
+		for _, policy := range experimenter.Policies() {
+			if len(cmd.Policy) > 0 && !slices.Contains(cmd.Policy, policy.Name) {
+				continue
+			}
+			for seed := range cmd.Seeds {
+				group.Go(func() error {
+					r, err := experimenter.RunExperiment(scenario, policy, uint64(seed+1))
+					mu.Lock()
+					defer mu.Unlock()
+					results = append(results, r)
+					return err
+				})
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return printJSON(s, results)
+	}
+	return cmd.print(s, results)
+}
+
+func (cmd experimentCommand) wants(name string) bool {
+	return len(cmd.Scenario) == 0 || slices.ContainsFunc(cmd.Scenario, func(prefix string) bool {
+		return strings.HasPrefix(name, prefix)
+	})
+}
+
+// print shows the median over the seeds with the lowest and highest.
+func (cmd experimentCommand) print(s *streams, results []experimenter.Result) error {
+	var rows [][]string
+	for _, scenario := range experimenter.Scenarios() {
+		for _, policy := range experimenter.Policies() {
+			var own []experimenter.Result
+			for _, r := range results {
+				if r.Scenario == scenario.Name && r.Policy == policy.Name {
+					own = append(own, r)
+				}
+			}
+			if len(own) > 0 {
+				rows = append(rows, experimentRow(own))
+			}
+		}
+	}
+	return printTable(s, []string{
+		"SCENARIO", "POLICY", "CHECK-P50", "CHECK-P99", "KEPT-CHECK", "KEPT-DIAL", "KEPT-FEED", "SHARE-CHECK", "SHARE-DIAL", "SHARE-FEED", "USEFUL", "VAIN", "ATTEMPTS", "BROKEN",
+	}, rows)
+}
+
+func experimentRow(own []experimenter.Result) []string {
+	row := []string{own[0].Scenario, own[0].Policy}
+	for _, pick := range []func(r experimenter.Result) float64{
+		func(r experimenter.Result) float64 { return r.Kinds["check"].P50 },
+		func(r experimenter.Result) float64 { return r.Kinds["check"].P99 },
+		func(r experimenter.Result) float64 { return r.Kinds["check"].Kept() },
+		func(r experimenter.Result) float64 { return r.Kinds["dial"].Kept() },
+		func(r experimenter.Result) float64 { return r.Kinds["feed"].Kept() },
+		func(r experimenter.Result) float64 { return r.Kinds["check"].Share },
+		func(r experimenter.Result) float64 { return r.Kinds["dial"].Share },
+		func(r experimenter.Result) float64 { return r.Kinds["feed"].Share },
+		func(r experimenter.Result) float64 { return r.Useful },
+		func(r experimenter.Result) float64 { return r.Vain },
+		func(r experimenter.Result) float64 { return r.Attempts },
+		func(r experimenter.Result) float64 { return float64(r.Broken) },
+	} {
+		var values []float64
+		for _, r := range own {
+			values = append(values, pick(r))
+		}
+		slices.Sort(values)
+		row = append(row, fmt.Sprintf("%.3g (%.2g-%.2g)", values[len(values)/2], values[0], values[len(values)-1]))
+	}
+	return row
+}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -263,12 +263,7 @@
 		}
 	}
 	for _, name := range d.names() {
-		s := d.services[name]
-		for _, item := range s.queue.Hopeless(now) {
-			q := d.requests[item.ID]
-			d.finish(q, q.unsuccessful(framer.ReasonOverloaded))
-		}
-		d.pump(now, s)
+		d.pump(now, d.services[name])
 	}
 	return d.take()
 }
@@ -291,6 +286,13 @@
 	return 0
 }
 
+// ShapeRouters lets an experiment change how endpoints are chosen.
+func (d *Dispatcher) ShapeRouters(shape func(r *router.Router)) {
+	for _, name := range d.names() {
+		shape(d.services[name].router)
+	}
+}
+
 // Holds tells whether a request has no outcome yet.
 func (d *Dispatcher) Holds(id string) bool {
 	return d.requests[id] != nil
@@ -371,6 +373,10 @@
 
 // pump sends waiting requests, in their turn, while any endpoint has room.
 func (d *Dispatcher) pump(now time.Time, s *service) {
+	for _, item := range s.queue.Hopeless(now) {
+		q := d.requests[item.ID]
+		d.finish(q, q.unsuccessful(framer.ReasonOverloaded))
+	}
 	for {
 		sent := false
 		for _, item := range s.queue.Turn() {
@@ -506,6 +512,7 @@
 // whole takes a complete answer. A server error of an idempotent request is
 // tried again while the budget lasts.
 func (d *Dispatcher) whole(now time.Time, s *service, q *request) {
+	s.queue.Learn(q.Kind, now.Sub(q.sentAt))
 	if q.status < serverError {
 		s.router.Succeeded(q.address, q.Kind, now.Sub(q.sentAt))
 	} else {
@@ -588,6 +595,7 @@
 		d.finish(q, q.unsuccessful(framer.ReasonExpired))
 	case StageSent, StageFencing:
 		s.queue.Land(q.Kind)
+		s.queue.Learn(q.Kind, now.Sub(q.sentAt))
 		q.mayHaveRun = true
 		s.router.Failed(now, q.address)
 		d.finish(q, unknown(framer.ReasonExpired))
--- a/pkg/experimenter/world.go
+++ b/pkg/experimenter/world.go
@@ -59,6 +59,8 @@
 	EndedAt  time.Time
 	// Runs counts the starts on endpoints.
 	Runs int
+	// RunTook is how long the last whole run took.
+	RunTook time.Duration
 	// FirstRun is when it first started.
 	FirstRun time.Time
 	// Orphaned is set when the job's entry was killed.
@@ -344,6 +346,7 @@
 			return
 		}
 		a.Running--
+		job.RunTook = took
 		a.whenAwake(func() { a.perform(a.gate.Finished(a.w.now, run.Start.ID, result)) })
 	})
 }
