--- a/pkg/gatekeeper/gate.go
+++ b/pkg/gatekeeper/gate.go
@@ -105,7 +105,7 @@
 		g.records[s.ID] = next
 		return []Action{g.run(now, next)}
 	}
-	if waiting < rule.Standby {
+	if waiting < g.standby(rule) {
 		next.state = stateWaiting
 		g.records[s.ID] = next
 		g.enqueue(next)
@@ -270,10 +270,17 @@
 	if g.leaving {
 		return 0
 	}
-	standby := rule.Standby - g.waitingOf(rule.Kind)
+	standby := g.standby(rule) - g.waitingOf(rule.Kind)
 	return max(0, g.runRoom(rule)) + max(0, standby)
 }
 
+// standby is how many requests of a kind may wait at the gate. A kind below
+// its floor may wait even if it runs long: while others flood no slot is ever
+// free, and only who waits here gets the next one.
+func (g *Gate) standby(rule *Rule) int {
+	return max(rule.Standby, rule.FloorSlots-g.running[rule.Kind])
+}
+
 // runRoom is how many more requests of a kind could start now: the free
 // slots, less the floors of other kinds that may not be lent to this one.
 func (g *Gate) runRoom(rule *Rule) int {
