--- a/pkg/admitter/kind_queue.go
+++ b/pkg/admitter/kind_queue.go
@@ -15,8 +15,8 @@
 	// waitShare is the part of the time left that a request may be expected
 	// to spend in the queue: a longer queue only makes every answer later.
 	waitShare = 0.25
-	// paceWeight is the weight of the newest interval in the moving average.
-	paceWeight = 0.1
+	// paceWeight is the least weight of the newest interval in the average.
+	paceWeight = 0.02
 	// paceSamples is how many departures the average needs before it is used.
 	paceSamples = 8
 )
@@ -84,11 +84,8 @@
 	gap := now.Sub(q.lastDepart)
 	q.lastDepart = now
 	q.samples++
-	if q.samples == 1 {
-		q.interval = gap
-		return item
-	}
-	q.interval += time.Duration(paceWeight * float64(gap-q.interval))
+	weight := max(paceWeight, 1/float64(q.samples))
+	q.interval += time.Duration(weight * float64(gap-q.interval))
 	return item
 }
 
