--- a/pkg/gatekeeper/gate.go
+++ b/pkg/gatekeeper/gate.go
@@ -9,6 +9,11 @@
 )
 
 const (
+	// lendDeadlines is how many times a borrower's run time must fit into the
+	// lender's deadline.
+	lendDeadlines = 4
+	// headroomSlots are left free by work that borrows for a while.
+	headroomSlots = 1
 	// memoryMargin is how long an id is remembered past its deadline.
 	memoryMargin = 30 * time.Second
 	// answerPartBytes bounds one part of an answer, so that heartbeats
@@ -282,17 +287,34 @@
 }
 
 // runRoom is how many more requests of a kind could start now: the free
-// slots, less the floors of other kinds that may not be lent to this one.
+// slots, less what is held back for other kinds.
 func (g *Gate) runRoom(rule *Rule) int {
-	free := g.plan.Slots - g.total
+	free := g.plan.Slots - g.total - g.heldBack(rule)
+	return min(free, rule.CeilingSlots-g.running[rule.Kind])
+}
+
+// heldBack is how many free slots a kind must leave to the floors of others.
+// Work that is over soon may borrow all of them. Work whose slots come back
+// well before the others' deadlines may borrow all but a common headroom. Work
+// that runs longer may borrow none: a slot can't be recalled.
+func (g *Gate) heldBack(rule *Rule) int {
+	held, common := 0, 0
 	for i := range g.plan.Rules {
 		other := &g.plan.Rules[i]
 		if other.Kind == rule.Kind || rule.RunTime <= other.LendLimit {
 			continue
 		}
-		free -= max(0, other.FloorSlots-g.running[other.Kind])
+		free := max(0, other.FloorSlots-g.running[other.Kind])
+		if rule.RunTime <= other.Deadline/lendDeadlines {
+			common += free
+			continue
+		}
+		held += free
 	}
-	return min(free, rule.CeilingSlots-g.running[rule.Kind])
+	if g.running[rule.Kind] < rule.FloorSlots {
+		return held
+	}
+	return held + min(common, headroomSlots)
 }
 
 func (g *Gate) run(now time.Time, rec *record) Action {
--- a/pkg/gatekeeper/rule.go
+++ b/pkg/gatekeeper/rule.go
@@ -15,6 +15,8 @@
 	CeilingSlots int
 	// RunTime is how long a request of the kind is expected to run.
 	RunTime time.Duration
+	// Deadline is the deadline of a request of the kind that names none.
+	Deadline time.Duration
 	// LendLimit is the longest expected run time of another kind that may
 	// borrow this kind's free floor.
 	LendLimit time.Duration
--- a/pkg/publisher/rules.go
+++ b/pkg/publisher/rules.go
@@ -42,6 +42,7 @@
 			FloorSlots:   int(math.Floor(k.Floor * float64(d.Endpoint.Slots))),
 			CeilingSlots: max(1, int(math.Floor(k.Ceiling*float64(d.Endpoint.Slots)))),
 			RunTime:      time.Duration(k.RunTime),
+			Deadline:     time.Duration(k.Deadline),
 			LendLimit:    time.Duration(k.LendLimit),
 			Standby:      k.standby(),
 		})
