--- a/pkg/demonstrator/fleet.go
+++ b/pkg/demonstrator/fleet.go
@@ -27,9 +27,11 @@
 type Fleet struct {
 	Platform  *faker.Platform
 	Endpoints []*faker.Endpoint
-	Workers   []*faker.Worker
-	Entries   []string
-	Assert    *asserter.Asserter
+	// EndpointAddresses are where the endpoints listen.
+	EndpointAddresses []string
+	Workers           []*faker.Worker
+	Entries           []string
+	Assert            *asserter.Asserter
 
 	log    hclog.Logger
 	framer *framer.Framer
@@ -146,6 +148,7 @@
 	}
 	endpoint := faker.NewEndpoint(s.runTimes)
 	f.Endpoints = append(f.Endpoints, endpoint)
+	f.EndpointAddresses = append(f.EndpointAddresses, endpointAddress)
 	cfg := f.settings(agentAddress, domain)
 	cfg.Agent = configurer.AgentSettings{
 		Service:  s.service,
--- a/pkg/experimenter/experiment.go
+++ b/pkg/experimenter/experiment.go
@@ -154,7 +154,15 @@
 			})
 		}
 	}
+	both := calmRates()
+	for _, kind := range []string{"feed", "check"} {
+		both[kind] = 5 * capacity / experimentRunTimes[kind].Seconds()
+	}
 	return append(list,
+		Scenario{
+			Name:  "both-flood-5x",
+			Rates: both,
+		},
 		Scenario{
 			Name:  "slow-endpoint",
 			Rates: calmRates(),
