--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -22,7 +22,7 @@
 	// fenceTimeout is how long an idempotent request waits for a new link.
 	fenceTimeout = 400 * time.Millisecond
 	// fenceMargin is how long past the deadline a gate must remember a fence.
-	fenceMargin = 30 * time.Second
+	fenceMargin = 5 * time.Second
 	// firstBackoff and longestBackoff bound the wait between attempts.
 	firstBackoff   = 5 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
--- a/pkg/gatekeeper/gate.go
+++ b/pkg/gatekeeper/gate.go
@@ -15,12 +15,12 @@
 	// headroomSlots are left free by work that borrows for a while.
 	headroomSlots = 1
 	// memoryMargin is how long an id is remembered past its deadline.
-	memoryMargin = 30 * time.Second
+	memoryMargin = 5 * time.Second
 	// answerPartBytes bounds one part of an answer, so that heartbeats
 	// pass between the parts.
 	answerPartBytes = 64 << 10
 	// keptAnswerBytes bounds the answers kept for peers that lost a link.
-	keptAnswerBytes = 4 << 20
+	keptAnswerBytes = 2 << 20
 )
 
 // Gate decides what starts on one endpoint. It belongs to one goroutine.
@@ -435,16 +435,19 @@
 	rec.answer = &result
 	g.kept = append(g.kept, rec)
 	g.keptBytes += len(result.Body)
-	for g.keptBytes > keptAnswerBytes && len(g.kept) > 1 {
+	for len(g.kept) > 1 && (g.keptBytes > keptAnswerBytes || g.kept[0].answer == nil) {
 		g.dropAnswer(g.kept[0])
+		g.kept[0] = nil
+		g.kept = g.kept[1:]
 	}
 }
 
+// dropAnswer gives an answer's bytes back; its place in the order of age stays
+// until it comes to the front.
 func (g *Gate) dropAnswer(rec *record) {
 	if rec.answer == nil {
 		return
 	}
 	g.keptBytes -= len(rec.answer.Body)
 	rec.answer = nil
-	g.kept = slices.DeleteFunc(g.kept, func(r *record) bool { return r == rec })
 }
--- a/pkg/receiver/callers.go
+++ b/pkg/receiver/callers.go
@@ -54,16 +54,11 @@
 }
 
 // takeRequest carries one caller's request to its outcome.
-func (e *Entry) takeRequest(ctx context.Context, c *app.RequestContext) {
+func (e *Entry) takeRequest(_ context.Context, c *app.RequestContext) {
 	acceptedAt := time.Now()
 	service := c.Param("service")
-	var doc publisher.Document
-	err := e.loop.Ask(ctx, func(time.Time) { _, doc = e.shelf.Get(service) })
-	if err != nil {
-		server.Refuse(c, consts.StatusServiceUnavailable, err)
-		return
-	}
-	if doc.Service == "" {
+	doc, ok := (*e.documents.Load())[service]
+	if !ok {
 		server.Refuse(c, consts.StatusNotFound, &UnknownServiceError{
 			Service: service,
 		})
--- a/pkg/receiver/entry.go
+++ b/pkg/receiver/entry.go
@@ -60,6 +60,8 @@
 
 	leaving  atomic.Bool
 	handling atomic.Int64
+	// documents is a snapshot of the documents in force, by service.
+	documents atomic.Pointer[map[string]publisher.Document]
 
 	// The fields below belong to the control goroutine.
 	ctx        context.Context
@@ -121,6 +123,7 @@
 		waiters: map[string]chan<- dispatcher.Outcome{},
 		shown:   map[string]uint64{},
 	}
+	e.documents.Store(&map[string]publisher.Document{})
 	e.loop = looper.New(e.tick)
 	return e
 }
--- a/pkg/receiver/operators.go
+++ b/pkg/receiver/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"time"
 
@@ -142,6 +143,9 @@
 
 func (e *Entry) enforce(now time.Time, doc framer.Document) {
 	_, parsed := e.shelf.Get(doc.Service)
+	snapshot := maps.Clone(*e.documents.Load())
+	snapshot[doc.Service] = parsed
+	e.documents.Store(&snapshot)
 	if e.cell != nil {
 		e.cell.Core.SetQuota(parsed.Team, parsed.Quota)
 	}
