--- a/pkg/configurer/settings.go
+++ b/pkg/configurer/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
@@ -55,6 +56,9 @@
 	Workers []string `toml:"workers"`
 	// Cell is the name of the cell that holds the workers.
 	Cell string `toml:"cell"`
+	// CommitInterval is the least time between two commits of the cell: 10ms
+	// to 2s. All cells together must stay within the table's writes a second.
+	CommitInterval publisher.Duration `toml:"commit-interval"`
 }
 
 // Defaults returns the settings that a file need not name.
@@ -63,10 +67,11 @@
 		LogLevel:   "info",
 		LeaveGrace: publisher.Duration(30 * time.Second),
 		Entry: EntrySettings{
-			RetryRatio:   0.1,
-			RetryBurst:   10,
-			MaxBodyBytes: 1 << 20,
-			Cell:         "cell-1",
+			RetryRatio:     0.1,
+			RetryBurst:     10,
+			MaxBodyBytes:   1 << 20,
+			Cell:           "cell-1",
+			CommitInterval: publisher.Duration(overseer.DefaultCommitInterval),
 		},
 	}
 }
@@ -135,6 +140,15 @@
 	if err := publisher.CheckName("entry.cell", e.Cell); err != nil {
 		return err
 	}
+	const shortest, longest = 10 * time.Millisecond, 2 * time.Second
+	interval := time.Duration(e.CommitInterval)
+	if interval < shortest || interval > longest {
+		return &publisher.FieldError{
+			Field:   "entry.commit-interval",
+			Value:   interval.String(),
+			Allowed: fmt.Sprintf("%s to %s", shortest, longest),
+		}
+	}
 	return checkAddresses("entry.workers", e.Workers)
 }
 
--- a/pkg/experimenter/cell_run_test.go
+++ b/pkg/experimenter/cell_run_test.go
@@ -32,6 +32,8 @@
 		Workers:  10,
 		Capacity: testCapacity,
 		Assert:   fatalAsserter(t, seed),
+
+		CommitInterval: overseer.DefaultCommitInterval,
 	})
 }
 
--- a/pkg/experimenter/cell_world.go
+++ b/pkg/experimenter/cell_world.go
@@ -36,8 +36,8 @@
 	Capacity publisher.Resources
 	Assert   *asserter.Asserter
 	Shape    func(c *placer.Cell)
-	// Unlimited lifts the table's limits.
-	Unlimited bool
+	// CommitInterval is the owners' least time between two commits.
+	CommitInterval time.Duration
 }
 
 // CellWorld is a cell with its possible owners, its workers and the table, in
@@ -128,6 +128,8 @@
 		Workers: workers,
 		Assert:  w.cfg.Assert,
 		Shape:   w.cfg.Shape,
+
+		CommitInterval: w.cfg.CommitInterval,
 	})
 	w.Every(ownerTick, func() bool {
 		if o.alive && !o.paused {
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -8,11 +8,11 @@
 const (
 	// OwnFor is how long an owner may act after sending a renewal that the
 	// table then confirmed.
-	OwnFor = 4 * time.Second
+	OwnFor = 3 * time.Second
 	// TakeAfter is how long a row must stand unchanged before it is taken over.
-	TakeAfter = 6 * time.Second
+	TakeAfter = 4 * time.Second
 	// RenewInterval is the time between two renewals.
-	RenewInterval = time.Second
+	RenewInterval = 700 * time.Millisecond
 	// OrphanHorizon is how long an owner that can't reach the table goes on
 	// renewing the leases of running tasks.
 	OrphanHorizon = 10 * time.Minute
--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -19,11 +19,13 @@
 )
 
 const (
-	// commitInterval is the least time between two commits that are not urgent.
-	commitInterval = 100 * time.Millisecond
+	// DefaultCommitInterval suits a few cells; many share the table's budget.
+	DefaultCommitInterval = 100 * time.Millisecond
+	// urgentShare is the part of the commit interval that urgent starts wait.
+	urgentShare = 2
 	// syncInterval is the time between two calls to a worker that has nothing
 	// to be told.
-	syncInterval = time.Second
+	syncInterval = 500 * time.Millisecond
 	// inboxInterval is the time between two reads of the inbox.
 	inboxInterval = 250 * time.Millisecond
 	// resendInterval is the wait before a write whose answer was lost is sent
@@ -40,6 +42,8 @@
 	Cell    string
 	Workers []string
 	Assert  *asserter.Asserter
+	// CommitInterval is the least time between two commits.
+	CommitInterval time.Duration
 	// Shape may change a cell's policy when it is taken; it may be nil.
 	Shape func(c *placer.Cell)
 }
@@ -198,8 +202,11 @@
 		return
 	}
 	since := now.Sub(c.lastWrite)
-	urgent := c.cell != nil && c.cell.Urgent()
-	if since < commitInterval && !urgent {
+	interval := c.cfg.CommitInterval
+	if c.cell != nil && c.cell.Urgent() {
+		interval /= urgentShare
+	}
+	if since < interval {
 		return
 	}
 	var commit placer.Commit
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// TaskLease is how long a worker runs tasks without a renewal.
-	TaskLease = 10 * time.Second
+	// TaskLease is how long a worker runs tasks without a renewal. It outlasts
+	// the change of a cell's owner, so that this stops no task, and is short
+	// enough for a lost replica to be replaced within 8 s.
+	TaskLease = 7 * time.Second
 	// failuresToSetAside is how many starts of different tasks must fail in a
 	// row before a worker is set aside.
 	failuresToSetAside = 3
--- a/pkg/receiver/jobs.go
+++ b/pkg/receiver/jobs.go
@@ -48,10 +48,11 @@
 		return nil
 	}
 	return overseer.New(overseer.Config{
-		Self:    e.cfg.Address + "#" + strconv.FormatUint(e.hello.Incarnation, 16),
-		Cell:    e.cfg.Entry.Cell,
-		Workers: e.cfg.Entry.Workers,
-		Assert:  e.assert,
+		Self:           e.cfg.Address + "#" + strconv.FormatUint(e.hello.Incarnation, 16),
+		Cell:           e.cfg.Entry.Cell,
+		Workers:        e.cfg.Entry.Workers,
+		Assert:         e.assert,
+		CommitInterval: time.Duration(e.cfg.Entry.CommitInterval),
 	}, e.table, e.workers, e.loop, e.group)
 }
 
