Keep the replicas of latency-critical services

cause: only batch tasks were placed; a service's replicas had to be kept at their count, spread, and back within 8 s ruled out: one row that lists all replicas (each start would rewrite it); ids without the epoch (a new owner would meet the final row of an old task) change: the cell keeps a task for each replica, places them before batch work, least shared failure domain first, then rack, then instance; lowering the count cancels.

--- a/pkg/commander/jobs.go
+++ b/pkg/commander/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -87,12 +88,17 @@
 type jobList struct {
 	operatorFlags
 	After string `help:"List jobs whose id comes after this one."`
+	Class string `help:"batch, latency-critical, or all." default:"batch" enum:"batch,latency-critical,all"`
 }
 
 // Run implements the command.
 func (cmd jobList) Run(ctx context.Context, s *streams) error {
 	var tasks []placer.Task
-	if err := cmd.get(ctx, "/v1/jobs?after="+cmd.After, &tasks); err != nil {
+	class := cmd.Class
+	if class == "all" {
+		class = ""
+	}
+	if err := cmd.get(ctx, "/v1/jobs?class="+class+"&after="+url.QueryEscape(cmd.After), &tasks); err != nil {
 		return err
 	}
 	if cmd.JSON {
--- a/pkg/experimenter/cell_world.go
+++ b/pkg/experimenter/cell_world.go
@@ -82,10 +82,18 @@
 	Address string
 	Worker  *faker.Worker
 
+	domain   string
+	rack     string
 	alive    bool
 	bootedAt time.Time
 }
 
+// cellDomains are the failure domains of the workers, which stand perRack to a
+// rack.
+var cellDomains = [...]string{"quito-norte", "quito-sur", "cumbaya"}
+
+const perRack = 3
+
 // NewCellWorld builds a world whose cell nobody owns yet.
 func NewCellWorld(cfg CellConfig) *CellWorld {
 	w := &CellWorld{
@@ -103,6 +111,8 @@
 	for i := range cfg.Workers {
 		cw := &CellWorker{
 			Address: fmt.Sprintf("worker-%03d", i),
+			domain:  cellDomains[i%len(cellDomains)],
+			rack:    fmt.Sprintf("rack-%d", i/len(cellDomains)/perRack),
 		}
 		w.boot(cw)
 		w.Workers = append(w.Workers, cw)
@@ -143,7 +153,7 @@
 // boot starts a worker as a new incarnation without tasks.
 func (w *CellWorld) boot(cw *CellWorker) {
 	w.incarnation++
-	worker := faker.NewWorker(w.incarnation, "quito-norte", "rack-1", w.cfg.Capacity)
+	worker := faker.NewWorker(w.incarnation, cw.domain, cw.rack, w.cfg.Capacity)
 	worker.PutCheckpoint = func(name string, progress int64) { w.checkpoints[name] = progress }
 	worker.GetCheckpoint = func(name string) int64 { return w.checkpoints[name] }
 	worker.OnStart = func(id string, _ int) { w.started(id, cw.Address) }
--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -107,6 +107,7 @@
 	nextSync  map[string]time.Time
 	surplus   map[string][]placer.Command
 	quotas    map[string]publisher.Resources
+	replicas  map[string]placer.ReplicaNeed
 	actions   []Action
 }
 
@@ -119,6 +120,7 @@
 		nextSync: map[string]time.Time{},
 		surplus:  map[string][]placer.Command{},
 		quotas:   map[string]publisher.Resources{},
+		replicas: map[string]placer.ReplicaNeed{},
 	}
 }
 
@@ -140,6 +142,14 @@
 	}
 }
 
+// SetReplicas tells how many replicas of a service the cell must keep.
+func (c *Core) SetReplicas(service string, need placer.ReplicaNeed) {
+	c.replicas[service] = need
+	if c.cell != nil {
+		c.cell.SetReplicas(service, need)
+	}
+}
+
 // Tick returns what is to be done now.
 func (c *Core) Tick(now time.Time) []Action {
 	c.resend(now)
@@ -397,6 +407,9 @@
 	for team, quota := range c.quotas {
 		c.cell.SetQuota(team, quota)
 	}
+	for service, need := range c.replicas {
+		c.cell.SetReplicas(service, need)
+	}
 	if c.cfg.Shape != nil {
 		c.cfg.Shape(c.cell)
 	}
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -59,10 +59,13 @@
 	audit   []publisher.AuditRow
 	quotas  map[string]publisher.Resources
 	used    map[string]publisher.Resources
-	machine *stateless.StateMachine
-	current *entry
+	// replicas holds the need of each latency-critical service.
+	replicas map[string]*replicaSet
+	serial   int
+	machine  *stateless.StateMachine
+	current  *entry
 
-	// Choose picks a worker for a task among those that fit; never empty.
+	// Choose picks a worker for a batch task among those that fit; never empty.
 	Choose func(task *Task, fitting []Candidate) Candidate
 	// Counts are totals since the cell was taken.
 	Counts Counts
@@ -85,8 +88,6 @@
 	Rack          string
 	Free          publisher.Resources
 	Capacity      publisher.Resources
-	// SameService is how many tasks of the same service run there.
-	SameService int
 }
 
 // NewCell returns the cell as its new owner finds it in the table.
@@ -103,7 +104,9 @@
 		changed: map[string]*entry{},
 		quotas:  map[string]publisher.Resources{},
 		used:    map[string]publisher.Resources{},
-		Choose:  bestFit,
+
+		replicas: map[string]*replicaSet{},
+		Choose:   bestFit,
 	}
 	c.machine = newLifeCycle(func() *Task { return &c.current.Task })
 	for _, address := range workers {
@@ -137,6 +140,7 @@
 		c.bind(e)
 	}
 	c.tasks[t.Spec.ID] = e
+	c.adopt(e)
 }
 
 // SetQuota bounds what a team's batch tasks may hold in this cell; an amount
@@ -174,6 +178,11 @@
 	if !slices.Contains(c.cancels, id) {
 		c.cancels = append(c.cancels, id)
 	}
+	c.cancel(id)
+}
+
+// cancel stops a task for good, or keeps it from starting.
+func (c *Cell) cancel(id string) {
 	e := c.tasks[id]
 	if e == nil || e.State.Final() || e.State == StateCancelling {
 		return
@@ -231,6 +240,7 @@
 			c.emptied(w, "the worker's lease lapsed")
 		}
 	}
+	c.keepReplicas()
 	c.place()
 }
 
@@ -369,7 +379,7 @@
 	if len(fitting) == 0 {
 		return false
 	}
-	w := c.workers[c.Choose(&e.Task, withoutAvoided(fitting, e.avoid)).Address]
+	w := c.workers[c.choose(e, withoutAvoided(fitting, e.avoid)).Address]
 	if len(w.failedTasks) >= failuresToSetAside {
 		w.onTrial = true
 	}
@@ -384,6 +394,13 @@
 	return true
 }
 
+func (c *Cell) choose(e *entry, fitting []Candidate) Candidate {
+	if e.Spec.Class == ClassLatencyCritical {
+		return c.spreadOf(e.Spec.Service).leastShared(fitting)
+	}
+	return c.Choose(&e.Task, fitting)
+}
+
 func (c *Cell) fitting(e *entry) []Candidate {
 	var list []Candidate
 	for _, address := range c.order {
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -70,6 +70,8 @@
 	Class   Class               `json:"class"`
 	Urgency int                 `json:"urgency"`
 	Needs   publisher.Resources `json:"needs"`
+	// Replica is the index of a latency-critical task among its service's.
+	Replica int `json:"replica,omitempty"`
 	// RunTimeMillis is how long the task is expected to run.
 	RunTimeMillis int64 `json:"run-time-millis"`
 }
--- a/pkg/receiver/jobs.go
+++ b/pkg/receiver/jobs.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -133,6 +134,9 @@
 		refuseRead(c, err)
 		return
 	}
+	if class := placer.Class(c.Query("class")); class != "" {
+		tasks = slices.DeleteFunc(tasks, func(t placer.Task) bool { return t.Spec.Class != class })
+	}
 	c.JSON(consts.StatusOK, tasks)
 }
 
--- a/pkg/receiver/operators.go
+++ b/pkg/receiver/operators.go
@@ -12,6 +12,7 @@
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/server"
 )
@@ -148,6 +149,11 @@
 	e.documents.Store(&snapshot)
 	if e.cell != nil {
 		e.cell.Core.SetQuota(parsed.Team, parsed.Quota)
+		e.cell.Core.SetReplicas(parsed.Service, placer.ReplicaNeed{
+			Team:  parsed.Team,
+			Count: parsed.Replicas.Count,
+			Needs: parsed.Replicas.Needs,
+		})
 	}
 	isNew := !e.dispatcher.Serves(doc.Service)
 	e.perform(e.dispatcher.Install(now, doc.Service, parsed.AdmissionRules()))
