Keep members whose link is up; hold queued frames by pointer

cause: an idle link was dropped every 15 s: heartbeats never reached the view, so a quiet member was forgotten and its link cancelled. Seen as negative traffic in 'scripts/slopes.sh' (connections were replaced between samples).

--- a/pkg/announcer/view.go
+++ b/pkg/announcer/view.go
@@ -94,10 +94,17 @@
 	}
 }
 
-// Expire removes and returns the processes that were silent for too long.
-func (v *View) Expire(now time.Time) []framer.Member {
+// ExpireInterval is how often a view is to be looked through.
+const ExpireInterval = time.Second
+
+// Expire removes and returns the processes that were silent for too long. One
+// to which a link is up counts as heard, however quiet the link is.
+func (v *View) Expire(now time.Time, linked func(address string) bool) []framer.Member {
 	var gone []framer.Member
 	for _, address := range v.addresses() {
+		if linked(address) {
+			v.Heard(now, address)
+		}
 		k := v.members[address]
 		if now.Sub(k.heard) > ForgetAfter {
 			gone = append(gone, k.member)
--- a/pkg/forwarder/agent.go
+++ b/pkg/forwarder/agent.go
@@ -56,6 +56,8 @@
 	shelf    *publisher.Shelf
 	endpoint *EndpointClient
 	links    map[string]*linker.Link
+	// expiredAt is when the view was last looked through.
+	expiredAt time.Time
 }
 
 // New returns an agent. Its incarnation must be higher than that of any
@@ -233,7 +235,6 @@
 	if a.links[key] != l {
 		return
 	}
-	a.view.Heard(now, l.Peer.Address)
 	switch {
 	case f.Start != nil:
 		a.perform(now, a.gate.Start(now, key, *f.Start))
@@ -313,7 +314,11 @@
 // is at the gate.
 func (a *Agent) tick(now time.Time) time.Duration {
 	a.perform(now, a.gate.Tick(now))
-	a.view.Expire(now)
+	if now.Sub(a.expiredAt) >= announcer.ExpireInterval {
+		a.expiredAt = now
+		linked := a.linkedAddresses()
+		a.view.Expire(now, func(address string) bool { return linked[address] })
+	}
 	if a.gate.Idle() {
 		return idleTickInterval
 	}
@@ -368,12 +373,18 @@
 	a.loop.Post(func(now time.Time) { a.view.Merge(now, reply.Members.Members) })
 }
 
-// unlinked returns the entries, set or learnt, that have no link to this agent.
-func (a *Agent) unlinked() []string {
+// linkedAddresses returns the entries that have a link to this agent.
+func (a *Agent) linkedAddresses() map[string]bool {
 	linked := map[string]bool{}
 	for _, l := range a.links {
 		linked[l.Peer.Address] = true
 	}
+	return linked
+}
+
+// unlinked returns the entries, set or learnt, that have no link to this agent.
+func (a *Agent) unlinked() []string {
+	linked := a.linkedAddresses()
 	var targets []string
 	for _, address := range a.cfg.Join {
 		if !linked[address] {
--- a/pkg/linker/link.go
+++ b/pkg/linker/link.go
@@ -45,7 +45,7 @@
 
 	conn    *frameConn
 	dialled bool
-	out     chan framer.Frame
+	out     chan *framer.Frame
 	done    chan struct{}
 	leaving chan struct{}
 }
@@ -75,7 +75,7 @@
 		Peer:    peer,
 		conn:    c,
 		dialled: dialled,
-		out:     make(chan framer.Frame, queuedFrames),
+		out:     make(chan *framer.Frame, queuedFrames),
 		done:    make(chan struct{}),
 		leaving: make(chan struct{}),
 	}, nil
@@ -117,7 +117,7 @@
 	default:
 	}
 	select {
-	case l.out <- f:
+	case l.out <- &f:
 		return true
 	default:
 		l.conn.conn.Close()
@@ -187,7 +187,7 @@
 				err = l.conn.write(framer.Frame{Heartbeat: &echo})
 			}
 		case f := <-l.out:
-			err = l.conn.write(f)
+			err = l.conn.write(*f)
 		case <-l.leaving:
 			if len(l.out) == 0 {
 				return l.linger(ctx, heard)
--- a/pkg/linker/link_test.go
+++ b/pkg/linker/link_test.go
@@ -94,7 +94,7 @@
 	return &Link{
 		Peer:    *f.Hello,
 		conn:    c,
-		out:     make(chan framer.Frame, queuedFrames),
+		out:     make(chan *framer.Frame, queuedFrames),
 		done:    make(chan struct{}),
 		leaving: make(chan struct{}),
 	}, nil
--- a/pkg/placer/cell_test.go
+++ b/pkg/placer/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -277,3 +278,26 @@
 		})
 	}
 }
+
+// BenchmarkHeldTask tells the bytes that one placed task costs the owner.
+func BenchmarkHeldTask(b *testing.B) {
+	for _, tasks := range []int{300, 3000, 30_000} {
+		b.Run(fmt.Sprintf("tasks-%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := testCell(b, 100)
+				for i := range tasks {
+					c.Accept(start, spec(fmt.Sprint(i), 10), start)
+				}
+				c.Tick(start)
+				committed(c, start)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tasks), "bytes/task")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
--- a/pkg/receiver/agent_link.go
+++ b/pkg/receiver/agent_link.go
@@ -53,6 +53,12 @@
 	})
 }
 
+// linked tells whether a link to an agent is up.
+func (e *Entry) linked(address string) bool {
+	a := e.links[address]
+	return a != nil && a.link != nil
+}
+
 // forget ends the link to an agent that has been silent for long.
 func (e *Entry) forget(address string) {
 	a := e.links[address]
@@ -120,7 +126,6 @@
 	if a.link != l {
 		return
 	}
-	e.view.Heard(now, l.Peer.Address)
 	a.outstanding.Add(outstandingChange(f))
 	e.perform(e.dispatcher.Receive(now, l.Peer.Address, f))
 }
--- a/pkg/receiver/entry.go
+++ b/pkg/receiver/entry.go
@@ -75,6 +75,7 @@
 	// cell is nil if no workers are set.
 	cell       *overseer.Overseer
 	cellTicked time.Time
+	expiredAt  time.Time
 }
 
 // Dependencies are what an entry is built from.
@@ -229,8 +230,11 @@
 // is on its way.
 func (e *Entry) tick(now time.Time) time.Duration {
 	e.perform(e.dispatcher.Tick(now))
-	for _, m := range e.view.Expire(now) {
-		e.forget(m.Address)
+	if now.Sub(e.expiredAt) >= announcer.ExpireInterval {
+		e.expiredAt = now
+		for _, m := range e.view.Expire(now, e.linked) {
+			e.forget(m.Address)
+		}
 	}
 	if e.cell != nil && now.Sub(e.cellTicked) >= idleTickInterval {
 		e.cellTicked = now
