--- /dev/null
+++ b/pkg/configurer/page_test.go
@@ -0,0 +1,110 @@
+package configurer
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+const pagePath = "../../docs/SETTINGS.md"
+
+// TestSettingsPage holds docs/SETTINGS.md against the doc comments of the
+// settings; "go test ./pkg/configurer -update" writes it anew.
+func TestSettingsPage(t *testing.T) {
+	page := "# Settings\n\nThis page is made from the comments of the code by `go test ./pkg/configurer -update`.\n"
+	page += section(t, "Settings of a process", "settings.go", "Settings")
+	page += "\nDefaults: `log-level = \"info\"`, `leave-grace = \"30s\"`, `entry.retry-ratio = 0.1`, `entry.retry-burst = 10`, " +
+		"`entry.max-body-bytes = 1048576`, `entry.cell = \"cell-1\"`, `entry.commit-interval = \"100ms\"`. " +
+		"`bilberrywalk check-settings FILE` checks a file.\n"
+	page += section(t, "Service documents", "../publisher/document.go", "Document")
+	page += "\n`bilberrywalk check-settings --document FILE` checks a document.\n"
+	if golden.FlagUpdate() {
+		assert.NilError(t, os.WriteFile(pagePath, []byte(page), 0o644))
+	}
+	have, err := os.ReadFile(pagePath)
+	assert.NilError(t, err)
+	assert.Equal(t, string(have), page)
+}
+
+// section lists the keys of a struct and of the structs in it.
+func section(t *testing.T, title, file, root string) string {
+	t.Helper()
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+	assert.NilError(t, err)
+	structs := map[string]*ast.StructType{}
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		if spec, ok := n.(*ast.TypeSpec); ok {
+			if s, ok := spec.Type.(*ast.StructType); ok {
+				structs[spec.Name.Name] = s
+			}
+		}
+		return true
+	})
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n## %s\n\n| key | meaning |\n| --- | --- |\n", title)
+	list(&b, structs, root, "")
+	return b.String()
+}
+
+func list(b *strings.Builder, structs map[string]*ast.StructType, name, prefix string) {
+	for _, f := range structs[name].Fields.List {
+		tag, err := strconv.Unquote(f.Tag.Value)
+		if err != nil {
+			continue
+		}
+		key := prefix + reflect.StructTag(tag).Get("toml")
+		fmt.Fprintf(b, "| `%s` | %s |\n", key, strings.ReplaceAll(strings.TrimSpace(f.Doc.Text()), "\n", " "))
+		inner, repeated := f.Type, ""
+		if array, ok := inner.(*ast.ArrayType); ok {
+			inner, repeated = array.Elt, "[]"
+		}
+		if ident, ok := inner.(*ast.Ident); ok && structs[ident.Name] != nil {
+			list(b, structs, ident.Name, key+repeated+".")
+		}
+	}
+}
+
+func TestWrongSettingsNameTheField(t *testing.T) {
+	good := "address = \"127.0.0.1:7101\"\nfailure-domain = \"quito-norte\"\n"
+	cases := map[string]struct{ text, field string }{
+		"no address":       {`failure-domain = "quito-norte"`, "address"},
+		"a host name":      {strings.Replace(good, "127.0.0.1", "localhost", 1), "address"},
+		"no domain":        {`address = "127.0.0.1:7101"`, "failure-domain"},
+		"bad join":         {good + `join = ["127.0.0.1"]`, "join[0]"},
+		"bad level":        {good + `log-level = "loud"`, "log-level"},
+		"bad grace":        {good + `leave-grace = "2h"`, "leave-grace"},
+		"bad ratio":        {good + "[entry]\nretry-ratio = 2.0", "entry.retry-ratio"},
+		"bad body":         {good + "[entry]\nmax-body-bytes = 0", "entry.max-body-bytes"},
+		"bad interval":     {good + "[entry]\ncommit-interval = \"1ms\"", "entry.commit-interval"},
+		"half an agent":    {good + "[agent]\nservice = \"reader\"", "agent.endpoint"},
+		"unknown key":      {good + "colour = 1", "colour"},
+		"a wrong type":     {good + "[entry]\nretry-burst = \"x\"", "entry.retry-burst"},
+		"no number at all": {good + "[entry]\nretry-ratio = nan", "entry.retry-ratio"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(c.text))
+			var field *publisher.FieldError
+			assert.Assert(t, errors.As(err, &field), "got %v", err)
+			assert.Equal(t, field.Field, c.field)
+		})
+	}
+	t.Run("the examples pass", func(t *testing.T) {
+		for _, name := range []string{"entry-1", "agent-central-polls-1"} {
+			_, err := Read("../../examples/" + name + ".toml")
+			assert.NilError(t, err)
+		}
+	})
+}
--- a/pkg/forwarder/agent.go
+++ b/pkg/forwarder/agent.go
@@ -55,7 +55,9 @@
 	view     *announcer.View
 	shelf    *publisher.Shelf
 	endpoint *EndpointClient
-	links    map[string]*linker.Link
+	// connections is the bound that the endpoint's client was built with.
+	connections int
+	links       map[string]*linker.Link
 	// expiredAt is when the view was last looked through.
 	expiredAt time.Time
 }
@@ -272,12 +274,13 @@
 
 func (a *Agent) enforce(now time.Time, version uint64) error {
 	_, doc := a.shelf.Get(a.cfg.Agent.Service)
-	if a.endpoint == nil {
+	if a.endpoint == nil || a.connections != doc.Endpoint.Connections {
 		endpoint, err := NewEndpointClient(a.cfg.Agent.Endpoint, doc.Endpoint.Connections)
 		if err != nil {
 			return err
 		}
 		a.endpoint = endpoint
+		a.connections = doc.Endpoint.Connections
 	}
 	a.perform(now, a.gate.Install(now, doc.GatePlan(version)))
 	return nil
--- a/pkg/forwarder/endpoint_client.go
+++ b/pkg/forwarder/endpoint_client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -67,7 +68,7 @@
 	req.SetRequestURI("http://" + c.address + endpointPath)
 	req.Header.Set(headerRequestID, s.ID)
 	req.Header.Set(headerKind, s.Kind)
-	req.Header.Set(headerRemaining, remaining.Truncate(time.Millisecond).String())
+	req.Header.Set(headerRemaining, strconv.FormatInt(remaining.Milliseconds(), 10))
 	if s.ContentType != "" {
 		req.Header.SetContentTypeBytes([]byte(s.ContentType))
 	}
--- a/pkg/publisher/publisher_test.go
+++ b/pkg/publisher/publisher_test.go
@@ -37,6 +37,7 @@
 var now = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
 
 func TestWrongDocumentsNameTheField(t *testing.T) {
+	_, kind, _ := strings.Cut(goodDocument, "[[kind]]")
 	cases := map[string]struct{ from, to, field string }{
 		"name":         {`service = "reader"`, `service = "Reader!"`, "service"},
 		"slots":        {"slots = 8", "slots = 0", "endpoint.slots"},
@@ -49,8 +50,8 @@
 		"queue":        {"max-queued = 100", "max-queued = 0", "kind[0].max-queued"},
 		"unknown key":  {"slots = 8", "slots = 8\nslotz = 9", "endpoint.slotz"},
 		"wrong type":   {"slots = 8", `slots = "many"`, "endpoint.slots"},
-		"no kinds":     {goodDocument[strings.Index(goodDocument, "[[kind]]"):], "", "kind (count)"},
-		"twice a kind": {"[[kind]]", strings.ReplaceAll(goodDocument[strings.Index(goodDocument, "[[kind]]"):], "0.5", "0.1") + "[[kind]]", "kind[1].name"},
+		"no kinds":     {"[[kind]]" + kind, "", "kind (count)"},
+		"twice a kind": {"[[kind]]", "[[kind]]" + strings.ReplaceAll(kind, "0.5", "0.1") + "[[kind]]", "kind[1].name"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
