--- /dev/null
+++ b/pkg/commander/colocation.go
@@ -0,0 +1,75 @@
+package commander
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/experimenter"
+)
+
+// colocationCommand compares ways to place batch tasks beside services.
+type colocationCommand struct {
+	Seeds    int  `help:"How many seeds each policy is run with." default:"3"`
+	Parallel int  `help:"How many runs go at once." default:"3"`
+	JSON     bool `help:"Print every run as JSON." name:"json"`
+}
+
+// Run implements the command.
+func (cmd colocationCommand) Run(s *streams) error {
+	var mu sync.Mutex
+	results := map[string][]experimenter.ColocationResult{}
+	var group errgroup.Group
+	group.SetLimit(cmd.Parallel)
+	for _, policy := range experimenter.ColocationPolicies() {
+		for seed := range cmd.Seeds {
+			group.Go(func() error {
+				r := experimenter.RunColocation(policy, uint64(seed+1))
+				mu.Lock()
+				defer mu.Unlock()
+				results[policy.Name] = append(results[policy.Name], r)
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return printJSON(s, results)
+	}
+	var rows [][]string
+	for _, policy := range experimenter.ColocationPolicies() {
+		rows = append(rows, colocationRow(policy.Name, results[policy.Name]))
+	}
+	return printTable(s, []string{"POLICY", "P50-SLOWDOWN", "P99-SLOWDOWN", "TIME-ABOVE-1.5", "BATCH-PROCESSORS", "EVICTIONS", "THROTTLED", "DONE", "BROKEN"}, rows)
+}
+
+func colocationRow(name string, own []experimenter.ColocationResult) []string {
+	row := []string{name}
+	for _, pick := range []func(r experimenter.ColocationResult) float64{
+		func(r experimenter.ColocationResult) float64 { return r.P50 },
+		func(r experimenter.ColocationResult) float64 { return r.P99 },
+		func(r experimenter.ColocationResult) float64 { return r.Bad },
+		func(r experimenter.ColocationResult) float64 { return r.Batch },
+		func(r experimenter.ColocationResult) float64 { return float64(r.Evictions) },
+		func(r experimenter.ColocationResult) float64 { return float64(r.Throttled) },
+		func(r experimenter.ColocationResult) float64 { return float64(r.Done) },
+		func(r experimenter.ColocationResult) float64 { return float64(r.Broken) },
+	} {
+		row = append(row, spreadOf(own, pick))
+	}
+	return row
+}
+
+// spreadOf shows the median of a figure with the lowest and highest.
+func spreadOf[R any](own []R, pick func(r R) float64) string {
+	var values []float64
+	for _, r := range own {
+		values = append(values, pick(r))
+	}
+	slices.Sort(values)
+	return fmt.Sprintf("%.3g (%.2g-%.2g)", values[len(values)/2], values[0], values[len(values)-1])
+}
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -55,7 +55,8 @@
 	Agent         agentCommand         `cmd:"" help:"Run an agent, the gate beside one endpoint."`
 	Demo          demoCommand          `cmd:"" help:"Run the whole path on this instance with stand-ins, and check every answer."`
 	Load          loadCommand          `cmd:"" help:"Send requests at a rate to running entries, and say what became of them."`
-	Experiment    experimentCommand    `cmd:"" help:"Compare the policy with its baselines in virtual time."`
+	Experiment    experimentCommand    `cmd:"" help:"Compare the policy for requests with its baselines in virtual time."`
+	Colocation    colocationCommand    `cmd:"" help:"Compare the policy for batch tasks beside services with its baselines in virtual time."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file or a service document without running anything."`
 	StandIn       standInCommand       `cmd:"" help:"Run a small stand-in of an outside system, for tests."`
 	Service       serviceCommand       `cmd:"" help:"Read and edit service documents."`
--- a/pkg/commander/experiment.go
+++ b/pkg/commander/experiment.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -97,12 +96,7 @@
 		func(r experimenter.Result) float64 { return r.Attempts },
 		func(r experimenter.Result) float64 { return float64(r.Broken) },
 	} {
-		var values []float64
-		for _, r := range own {
-			values = append(values, pick(r))
-		}
-		slices.Sort(values)
-		row = append(row, fmt.Sprintf("%.3g (%.2g-%.2g)", values[len(values)/2], values[0], values[len(values)-1]))
+		row = append(row, spreadOf(own, pick))
 	}
 	return row
 }
--- a/pkg/commander/jobs.go
+++ b/pkg/commander/jobs.go
@@ -27,6 +27,7 @@
 	operatorFlags
 	ID              string        `help:"A name of your own, so that the job can be sent again safely."`
 	Team            string        `help:"The team that owns the job." required:""`
+	Kind            string        `help:"What the job does, like weighting: jobs of a kind slow services alike. The team's name by default."`
 	Urgency         int           `help:"0 to 9; higher goes first." default:"3"`
 	ProcessorMillis int64         `help:"Thousandths of a processor." required:""`
 	MemoryBytes     int64         `help:"Bytes of memory." required:""`
@@ -39,6 +40,7 @@
 	body, err := json.Marshal(placer.Spec{
 		ID:      cmd.ID,
 		Team:    cmd.Team,
+		Kind:    cmd.Kind,
 		Urgency: cmd.Urgency,
 		Needs: publisher.Resources{
 			ProcessorMillis: cmd.ProcessorMillis,
--- a/pkg/faker/worker.go
+++ b/pkg/faker/worker.go
@@ -34,10 +34,37 @@
 
 // run is one start of a task on a worker.
 type run struct {
-	command  placer.Command
-	state    placer.RunState
-	progress int64
-	startsAt int64
+	command placer.Command
+	state   placer.RunState
+	// progress is the work done until since, both in milliseconds.
+	progress  int64
+	since     int64
+	throttled bool
+	// slowdowns are a service's measured slowdowns, oldest first.
+	slowdowns []slowdown
+}
+
+// slowdown is a service's slowdown at a time of the worker's clock.
+type slowdown struct {
+	atMillis int64
+	value    float64
+}
+
+// throttledSpeed is how fast a throttled task runs, and how much of its
+// interference it keeps.
+const throttledSpeed = 0.3
+
+func (r *run) speed() float64 {
+	if r.throttled {
+		return throttledSpeed
+	}
+	return 1
+}
+
+// settle books the work done until a time.
+func (r *run) settle(clockMillis int64) {
+	r.progress += int64(float64(clockMillis-r.since) * r.speed())
+	r.since = clockMillis
 }
 
 // Worker is a stand-in for an instance that runs tasks. It starts what it is
@@ -48,6 +75,9 @@
 	OnStop  func(id string, start int)
 	// FailAll makes every task fail as soon as it starts.
 	FailAll bool
+	// Interfere tells how much a service is slowed by the weights of the
+	// kinds of batch tasks beside it; nil means that it is not measured.
+	Interfere func(service string, kinds map[string]float64) float64
 	// PutCheckpoint keeps a checkpoint's progress under a name, and
 	// GetCheckpoint reads it back.
 	PutCheckpoint func(name string, progress int64)
@@ -144,7 +174,7 @@
 		if r.state != placer.RunRunning {
 			continue
 		}
-		doneAt := r.startsAt + r.command.RunMillis - r.progress
+		doneAt := r.since + int64(float64(r.command.RunMillis-r.progress)/r.speed())
 		if doneAt <= min(clockMillis, w.leaseUntil) {
 			w.end(r, placer.RunDone)
 		}
@@ -159,6 +189,52 @@
 	}
 }
 
+// slowdownLagMillis is how old a reported slowdown is.
+const slowdownLagMillis = 4000
+
+// Measure notes the slowdown of each service that runs now.
+func (w *Worker) Measure(clockMillis int64) []float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.Interfere == nil {
+		return nil
+	}
+	kinds := map[string]float64{}
+	for _, r := range w.runs {
+		if r.state == placer.RunRunning && r.command.Class == placer.ClassBatch {
+			kinds[r.command.TaskKind] += r.speed()
+		}
+	}
+	var all []float64
+	for _, id := range slices.Sorted(maps.Keys(w.runs)) {
+		r := w.runs[id]
+		if r.state != placer.RunRunning || r.command.Class != placer.ClassLatencyCritical {
+			continue
+		}
+		value := w.Interfere(r.command.Service, kinds)
+		all = append(all, value)
+		r.slowdowns = append(r.slowdowns, slowdown{
+			atMillis: clockMillis,
+			value:    value,
+		})
+		for len(r.slowdowns) > 1 && r.slowdowns[1].atMillis <= clockMillis-slowdownLagMillis {
+			r.slowdowns = r.slowdowns[1:]
+		}
+	}
+	return all
+}
+
+// slowdownBefore returns the newest slowdown that is no younger than a time.
+func (r *run) slowdownBefore(clockMillis int64) float64 {
+	value := 0.0
+	for _, s := range r.slowdowns {
+		if s.atMillis <= clockMillis {
+			value = s.value
+		}
+	}
+	return value
+}
+
 func (w *Worker) obey(clockMillis int64, c placer.Command) {
 	r := w.runs[c.ID]
 	switch c.Kind {
@@ -168,14 +244,19 @@
 		w.stop(c)
 	case placer.CommandEvict:
 		if r != nil && r.command.Start == c.Start && r.state == placer.RunRunning {
-			w.checkpoint(clockMillis, r)
+			r.settle(clockMillis)
+			w.checkpoint(r)
 			w.end(r, placer.RunStopped)
 		}
 	case placer.CommandForget:
 		if r != nil && r.command.Start == c.Start && r.state != placer.RunRunning {
 			delete(w.runs, c.ID)
 		}
-	case placer.CommandThrottle:
+	case placer.CommandThrottle, placer.CommandRelease:
+		if r != nil && r.command.Start == c.Start && r.state == placer.RunRunning {
+			r.settle(clockMillis)
+			r.throttled = c.Kind == placer.CommandThrottle
+		}
 	}
 }
 
@@ -188,9 +269,9 @@
 		w.end(old, placer.RunStopped)
 	}
 	r := &run{
-		command:  c,
-		state:    placer.RunRunning,
-		startsAt: clockMillis,
+		command: c,
+		state:   placer.RunRunning,
+		since:   clockMillis,
 	}
 	if c.Checkpoint != "" {
 		r.progress = w.GetCheckpoint(c.Checkpoint)
@@ -217,9 +298,8 @@
 	}
 }
 
-func (w *Worker) checkpoint(clockMillis int64, r *run) {
+func (w *Worker) checkpoint(r *run) {
 	name := fmt.Sprintf("checkpoint/%s/%d", r.command.ID, r.command.Start)
-	r.progress += clockMillis - r.startsAt
 	w.PutCheckpoint(name, r.progress)
 	r.command.Checkpoint = name
 }
@@ -244,6 +324,8 @@
 		if r.state == placer.RunStopped {
 			task.Checkpoint = r.command.Checkpoint
 		}
+		task.Throttled = r.throttled
+		task.Slowdown = r.slowdownBefore(clockMillis - slowdownLagMillis)
 		report.Tasks = append(report.Tasks, task)
 	}
 	slices.SortFunc(report.Tasks, func(a, b placer.TaskReport) int { return cmp.Compare(a.ID, b.ID) })
@@ -270,3 +352,17 @@
 	h.GET("/healthz", server.Health)
 	return h
 }
+
+// BatchSpeed returns the processors at work on batch tasks, less what is held
+// back.
+func (w *Worker) BatchSpeed() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := 0.0
+	for _, r := range w.runs {
+		if r.state == placer.RunRunning && r.command.Class == placer.ClassBatch {
+			sum += r.speed() * float64(r.command.Needs.ProcessorMillis) / 1000
+		}
+	}
+	return sum
+}
--- a/pkg/placer/action.go
+++ b/pkg/placer/action.go
@@ -29,6 +29,7 @@
 	CommandEvict    CommandKind = "evict"
 	CommandForget   CommandKind = "forget"
 	CommandThrottle CommandKind = "throttle"
+	CommandRelease  CommandKind = "release"
 )
 
 // Command is a request to a worker about one start of a task. A stop also
@@ -40,6 +41,9 @@
 	Needs      publisher.Resources `json:"needs"`
 	Checkpoint string              `json:"checkpoint,omitempty"`
 	RunMillis  int64               `json:"run-millis,omitempty"`
+	Class      Class               `json:"class,omitempty"`
+	Service    string              `json:"service,omitempty"`
+	TaskKind   string              `json:"task-kind,omitempty"`
 }
 
 // Sync is all that is sent to a worker at once: a lease in the worker's own
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -32,6 +32,10 @@
 	// inFlight is set while the row is being written.
 	inFlight  bool
 	fromInbox bool
+	// throttled is set while the worker is to hold the task back.
+	throttled bool
+	// saidThrottled is what the worker last reported of that.
+	saidThrottled bool
 	// counted is set while the task counts against its team's quota.
 	counted bool
 	// avoid is the worker on which the task failed last.
@@ -62,11 +66,16 @@
 	// replicas holds the need of each latency-critical service.
 	replicas map[string]*replicaSet
 	serial   int
+	ration   ration
 	machine  *stateless.StateMachine
 	current  *entry
 
 	// Choose picks a worker for a batch task among those that fit; never empty.
 	Choose func(task *Task, fitting []Candidate) Candidate
+	// Colocation is the policy for batch tasks beside services.
+	Colocation Colocation
+	// Interference is what was learnt of pairs of services and kinds.
+	Interference *Interference
 	// Counts are totals since the cell was taken.
 	Counts Counts
 }
@@ -79,6 +88,7 @@
 	Cancelled int64 `json:"cancelled"`
 	Evicted   int64 `json:"evicted"`
 	Lost      int64 `json:"lost"`
+	Throttled int64 `json:"throttled"`
 }
 
 // Candidate is a worker that a task fits on.
@@ -107,6 +117,13 @@
 
 		replicas: map[string]*replicaSet{},
 		Choose:   bestFit,
+		Colocation: Colocation{
+			Avoid:    true,
+			Throttle: true,
+			Evict:    true,
+			Ration:   true,
+		},
+		Interference: NewInterference(),
 	}
 	c.machine = newLifeCycle(func() *Task { return &c.current.Task })
 	for _, address := range workers {
@@ -221,6 +238,7 @@
 	w.clockMillis = r.ClockMillis
 	w.clockAt = now
 	c.reconcile(w, r)
+	c.watchServices(w, r)
 }
 
 // Unreachable notes that a worker gave no report.
@@ -296,6 +314,7 @@
 			continue
 		}
 		e.confirmed = true
+		e.saidThrottled = t.Throttled
 		switch t.State {
 		case RunRunning:
 			c.running(e)
@@ -375,7 +394,7 @@
 	if !c.withinQuota(e) {
 		return false
 	}
-	fitting := c.fitting(e)
+	fitting := c.withinLimits(e, c.fitting(e))
 	if len(fitting) == 0 {
 		return false
 	}
@@ -387,6 +406,7 @@
 	e.WorkerIncarnation = w.incarnation
 	e.Start++
 	e.confirmed = false
+	e.throttled = false
 	w.ledger.Commit(e.Spec.ID, e.Spec.Needs)
 	c.bind(e)
 	c.fire(e, triggerPlace)
@@ -432,6 +452,7 @@
 func (c *Cell) bind(e *entry) {
 	if w := c.workers[e.Worker]; w != nil {
 		w.tasks[e.Spec.ID] = e
+		w.changedAt = c.now
 	}
 	if e.Spec.Class == ClassBatch && !e.counted {
 		e.counted = true
@@ -443,6 +464,7 @@
 func (c *Cell) release(e *entry) {
 	if w := c.workers[e.Worker]; w != nil {
 		delete(w.tasks, e.Spec.ID)
+		w.changedAt = c.now
 		if w.ledger != nil {
 			w.ledger.Release(e.Spec.ID)
 		}
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -92,6 +92,18 @@
 		command.Needs = e.Spec.Needs
 		command.Checkpoint = e.Checkpoint
 		command.RunMillis = e.Spec.RunTimeMillis
+		command.Class = e.Spec.Class
+		command.Service = e.Spec.Service
+		command.TaskKind = e.Spec.Kind
+		return command, true
+	case StateRunning:
+		if e.throttled == e.saidThrottled {
+			return command, false
+		}
+		command.Kind = CommandRelease
+		if e.throttled {
+			command.Kind = CommandThrottle
+		}
 		return command, true
 	default:
 		return command, false
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -64,10 +64,12 @@
 
 // Spec is what a team asks for.
 type Spec struct {
-	ID      string              `json:"id"`
-	Team    string              `json:"team"`
-	Service string              `json:"service,omitempty"`
-	Class   Class               `json:"class"`
+	ID      string `json:"id"`
+	Team    string `json:"team"`
+	Service string `json:"service,omitempty"`
+	Class   Class  `json:"class"`
+	// Kind groups batch tasks that behave alike, to learn what they slow.
+	Kind    string              `json:"kind,omitempty"`
 	Urgency int                 `json:"urgency"`
 	Needs   publisher.Resources `json:"needs"`
 	// Replica is the index of a latency-critical task among its service's.
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -38,6 +38,11 @@
 	State RunState `json:"state"`
 	// Checkpoint names the object that was written last, if any.
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Slowdown is how much slower a latency-critical task answered a while
+	// ago than alone; nought if that was not measured.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	// Throttled tells that the worker holds the task back.
+	Throttled bool `json:"throttled,omitempty"`
 	// Usage is what the task used a while ago.
 	Usage publisher.Resources `json:"usage"`
 }
@@ -64,8 +69,10 @@
 	tasks         map[string]*entry
 	known         bool
 	reachable     bool
-	clockMillis   int64
-	clockAt       time.Time
+	// changedAt is when a task came, went, or was held back or let go.
+	changedAt   time.Time
+	clockMillis int64
+	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted ends.
 	leaseEnd time.Time
 
--- a/pkg/receiver/jobs.go
+++ b/pkg/receiver/jobs.go
@@ -86,9 +86,13 @@
 		spec.ID = uuid.NewString()
 	}
 	spec.Class = placer.ClassBatch
+	if spec.Kind == "" {
+		spec.Kind = spec.Team
+	}
 	for _, check := range []error{
 		publisher.CheckName("id", spec.ID),
 		publisher.CheckName("team", spec.Team),
+		publisher.CheckName("kind", spec.Kind),
 		publisher.CheckRange("urgency", int64(spec.Urgency), 0, mostUrgency),
 		publisher.CheckRange("needs.processor-millis", spec.Needs.ProcessorMillis, 1, 1<<50),
 		spec.Needs.Check("needs"),
