--- a/pkg/experimenter/cell_run_test.go
+++ b/pkg/experimenter/cell_run_test.go
@@ -15,7 +15,6 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
-	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
 )
 
 // testCapacity is a worker of the users' size.
@@ -178,12 +177,11 @@
 
 func checkJobs(t *testing.T, w *CellWorld, accepted map[string]bool) {
 	t.Helper()
-	table := w.Platform.Table()
+	jobs := overseer.NewJobs(w.Platform.Table())
 	done := 0
 	for id := range accepted {
-		row, err := table.Get(context.Background(), overseer.TaskKey(id))
+		task, err := jobs.Get(context.Background(), id)
 		assert.NilError(t, err)
-		task := decodeRow(t, row)
 		assert.Assert(t, task.State.Final(), "%s is %s (%s) at the end", id, task.State, task.Reason)
 		if task.State == placer.StateDone {
 			done++
@@ -197,11 +195,3 @@
 	}
 	assert.Assert(t, done*2 > len(accepted), "only %d of %d done", done, len(accepted))
 }
-
-func decodeRow(t *testing.T, row storer.Row) placer.Task {
-	t.Helper()
-	assert.Assert(t, row.Version > 0, "%s is not on record", row.Key)
-	task, err := overseer.DecodeTask(row)
-	assert.NilError(t, err)
-	return task
-}
--- a/pkg/experimenter/cell_world.go
+++ b/pkg/experimenter/cell_world.go
@@ -21,6 +21,8 @@
 	ownerTick = 20 * time.Millisecond
 	// callDelay is the one-way delay to the table and to workers.
 	callDelay = 2 * time.Millisecond
+	// retention is how long owners keep the rows of ended tasks.
+	retention = time.Hour
 	// callTimeout is when an owner gives up a call.
 	callTimeout = time.Second
 )
@@ -140,6 +142,7 @@
 		Shape:   w.cfg.Shape,
 
 		CommitInterval: w.cfg.CommitInterval,
+		Retention:      retention,
 	})
 	w.Every(ownerTick, func() bool {
 		if o.alive && !o.paused {
@@ -333,3 +336,12 @@
 func (o *Owner) Alive() bool {
 	return o.alive
 }
+
+// rowsBelow counts the table's rows whose key starts with a prefix.
+func (w *CellWorld) rowsBelow(prefix string) int {
+	rows, err := w.Platform.Table().Scan(context.Background(), prefix, "", 1<<20)
+	if err != nil {
+		return -1
+	}
+	return len(rows)
+}
--- a/pkg/experimenter/outage_test.go
+++ b/pkg/experimenter/outage_test.go
@@ -55,3 +55,22 @@
 	assert.Equal(t, w.Starts["cell-1/long"], 2)
 	assert.Equal(t, len(w.Doubled), 0)
 }
+
+// TestEndedTasksAreSwept lets the rows of ended tasks pass their retention.
+func TestEndedTasksAreSwept(t *testing.T) {
+	w := testCellWorld(t, 1)
+	for i := range 30 {
+		putOnRecord(t, w, smallJob(fmt.Sprintf("short-%02d", i), 3, 100))
+	}
+	putOnRecord(t, w, smallJob("long", 3, 3_600_000_000))
+	w.RunUntil(w.Now().Add(10 * time.Second))
+	assert.Equal(t, w.rowsBelow("task/"), 1)
+	assert.Equal(t, w.rowsBelow("ended/"), 30)
+	// Sending an ended job again is the same job, not a new one.
+	putOnRecord(t, w, smallJob("short-00", 3, 100))
+	w.RunUntil(w.Now().Add(5 * time.Second))
+	assert.Equal(t, w.Starts["cell-1/short-00"], 1)
+	w.RunUntil(w.Now().Add(retention + 2*time.Minute))
+	assert.Equal(t, w.rowsBelow("ended/"), 0)
+	assert.Equal(t, w.rowsBelow("task/"), 1)
+}
--- a/pkg/experimenter/random_run_test.go
+++ b/pkg/experimenter/random_run_test.go
@@ -64,8 +64,12 @@
 	})
 }
 
-// seeds returns the seeds of a randomised test; BILBERRYWALK_SEED replays one.
+// seeds returns the seeds of a randomised test; BILBERRYWALK_SEED replays one,
+// BILBERRYWALK_SEEDS asks for another number of them.
 func seeds(n uint64) []uint64 {
+	if count, err := strconv.ParseUint(os.Getenv("BILBERRYWALK_SEEDS"), 10, 64); err == nil {
+		n = count
+	}
 	if text := os.Getenv("BILBERRYWALK_SEED"); text != "" {
 		if seed, err := strconv.ParseUint(text, 10, 64); err == nil {
 			return []uint64{seed}
--- a/pkg/faker/worker.go
+++ b/pkg/faker/worker.go
@@ -124,6 +124,9 @@
 	}
 	w.epoch = s.Epoch
 	w.advance(clockMillis)
+	if s.Incarnation != w.report.Incarnation {
+		return w.reportAt(clockMillis), nil
+	}
 	w.leaseUntil = max(w.leaseUntil, s.LeaseUntilMillis)
 	if s.LeaseUntilMillis > clockMillis {
 		for _, command := range s.Commands {
--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -33,6 +33,12 @@
 	resendInterval = 200 * time.Millisecond
 	// scanLimit is how many rows one read returns.
 	scanLimit = 500
+	// sweepInterval is the time between two looks at ended tasks, and
+	// sweepLimit how many are looked at.
+	sweepInterval = time.Minute
+	sweepLimit    = 100
+	// DefaultRetention keeps the rows of ended tasks for a week.
+	DefaultRetention = 7 * 24 * time.Hour
 )
 
 // Config shapes a core.
@@ -44,6 +50,8 @@
 	Assert  *asserter.Asserter
 	// CommitInterval is the least time between two commits.
 	CommitInterval time.Duration
+	// Retention is how long the row of an ended task is kept.
+	Retention time.Duration
 	// Shape may change a cell's policy when it is taken; it may be nil.
 	Shape func(c *placer.Cell)
 }
@@ -101,6 +109,11 @@
 	loading   *placer.Cell
 	nextRead  time.Time
 	nextScan  time.Time
+	nextSweep time.Time
+	// sweepAfter is the key of the ended task that was looked at last.
+	sweepAfter string
+	// old are ended tasks whose rows are to be deleted.
+	old       []storer.Write
 	write     *pendingWrite
 	lastWrite time.Time
 	calling   map[string]bool
@@ -243,11 +256,7 @@
 		}},
 	}
 	for _, r := range commit.Rows {
-		tx.Writes = append(tx.Writes, storer.Write{
-			Key:    TaskKey(r.Task.Spec.ID),
-			Expect: r.Expect,
-			Value:  encode(r.Task),
-		})
+		tx.Writes = append(tx.Writes, taskWrites(r)...)
 		if r.FromInbox {
 			tx.Writes = append(tx.Writes, storer.Write{
 				Key:    inboxKey(r.Task.Spec.ID),
@@ -269,6 +278,8 @@
 			Value: encode(line),
 		})
 	}
+	tx.Writes = append(tx.Writes, c.old...)
+	c.old = nil
 	c.lastWrite = now
 	c.write = &pendingWrite{
 		transaction: tx,
@@ -284,6 +295,30 @@
 	})
 }
 
+// taskWrites keeps a task's row, or moves it to where ended tasks stand.
+func taskWrites(r placer.Row) []storer.Write {
+	id := r.Task.Spec.ID
+	if !r.Task.State.Final() {
+		return []storer.Write{{
+			Key:    TaskKey(id),
+			Expect: r.Expect,
+			Value:  encode(r.Task),
+		}}
+	}
+	ended := storer.Write{
+		Key:   EndedKey(id),
+		Value: encode(r.Task),
+	}
+	if r.Expect == 0 {
+		return []storer.Write{ended}
+	}
+	return []storer.Write{ended, {
+		Key:    TaskKey(id),
+		Expect: r.Expect,
+		Delete: true,
+	}}
+}
+
 // resend sends a transaction again whose answer was lost.
 func (c *Core) resend(now time.Time) {
 	w := c.write
@@ -324,7 +359,7 @@
 func (c *Core) written(now time.Time, w *pendingWrite) {
 	if w.take {
 		c.loading = placer.NewCell(now, c.cfg.Cell, c.lease.Epoch(), c.cfg.Workers, c.cfg.Assert)
-		c.scan(taskPrefix(c.cfg.Cell), "")
+		c.scan(taskPrefix(c.cfg.Cell), "", scanLimit)
 		return
 	}
 	if c.cell == nil {
@@ -345,20 +380,21 @@
 	c.lease.Lost()
 	c.cell = nil
 	c.loading = nil
+	c.old = nil
 	c.scanning = false
 	c.surplus = map[string][]placer.Command{}
 	c.nextSync = map[string]time.Time{}
 	c.nextRead = now
 }
 
-func (c *Core) scan(prefix, after string) {
+func (c *Core) scan(prefix, after string, limit int) {
 	c.scanning = true
 	c.scanStale = false
 	c.act(Action{
 		Scan: &ScanRows{
 			Prefix: prefix,
 			After:  after,
-			Limit:  scanLimit,
+			Limit:  limit,
 		},
 	})
 }
@@ -367,8 +403,13 @@
 	if c.scanning || now.Before(c.nextScan) {
 		return
 	}
+	if !now.Before(c.nextSweep) {
+		c.nextSweep = now.Add(sweepInterval)
+		c.scan(endedPrefix(c.cfg.Cell), c.sweepAfter, sweepLimit)
+		return
+	}
 	c.nextScan = now.Add(inboxInterval)
-	c.scan(inboxPrefix(c.cfg.Cell), "")
+	c.scan(inboxPrefix(c.cfg.Cell), "", scanLimit)
 }
 
 // Scanned takes rows of the tasks or of the inbox.
@@ -380,15 +421,38 @@
 		if err == nil && c.cell != nil && !c.scanStale {
 			c.open(now, rows)
 		}
+	case request.Prefix == endedPrefix(c.cfg.Cell):
+		if err == nil {
+			c.sweep(now, rows)
+		}
 	case c.loading == nil:
 	case err != nil:
-		c.scan(request.Prefix, request.After)
+		c.scan(request.Prefix, request.After, request.Limit)
 	default:
 		c.load(now, request, rows)
 	}
 	return c.take()
 }
 
+// sweep marks ended tasks beyond their retention; it goes round all of them.
+func (c *Core) sweep(now time.Time, rows []storer.Row) {
+	c.sweepAfter = ""
+	if len(rows) == sweepLimit {
+		c.sweepAfter = rows[len(rows)-1].Key
+	}
+	c.old = nil
+	for _, row := range rows {
+		task, err := DecodeTask(row)
+		if err == nil && now.Sub(task.EndedAt) > c.cfg.Retention {
+			c.old = append(c.old, storer.Write{
+				Key:    row.Key,
+				Expect: row.Version,
+				Delete: true,
+			})
+		}
+	}
+}
+
 func (c *Core) load(now time.Time, request ScanRows, rows []storer.Row) {
 	for _, row := range rows {
 		var task placer.Task
@@ -399,7 +463,7 @@
 		}
 	}
 	if len(rows) == request.Limit {
-		c.scan(request.Prefix, rows[len(rows)-1].Key)
+		c.scan(request.Prefix, rows[len(rows)-1].Key, request.Limit)
 		return
 	}
 	c.cell = c.loading
--- a/pkg/overseer/jobs.go
+++ b/pkg/overseer/jobs.go
@@ -61,6 +61,10 @@
 				Key:       TaskKey(spec.ID),
 				CheckOnly: true,
 			},
+			{
+				Key:       EndedKey(spec.ID),
+				CheckOnly: true,
+			},
 		},
 	})
 	var conflict *storer.ConflictError
@@ -95,50 +99,46 @@
 
 // Get returns a job as the table has it.
 func (j *Jobs) Get(ctx context.Context, id string) (placer.Task, error) {
-	row, err := j.table.Get(ctx, TaskKey(id))
-	if err != nil {
-		return placer.Task{}, err
-	}
-	if row.Version > 0 {
+	// A row only moves on, from the inbox to the tasks to the ended ones, so
+	// reading in that order meets it wherever it is.
+	for _, key := range []string{inboxKey(id), TaskKey(id), EndedKey(id)} {
+		row, err := j.table.Get(ctx, key)
+		if err != nil {
+			return placer.Task{}, err
+		}
+		if row.Version == 0 {
+			continue
+		}
+		if key == inboxKey(id) {
+			return decodeAccepted(row)
+		}
 		return DecodeTask(row)
 	}
-	row, err = j.table.Get(ctx, inboxKey(id))
-	if err != nil {
-		return placer.Task{}, err
+	return placer.Task{}, &NoSuchJobError{
+		ID: id,
 	}
-	if row.Version > 0 {
-		return decodeAccepted(row)
-	}
-	// The row may have moved from the inbox between the two reads.
-	row, err = j.table.Get(ctx, TaskKey(id))
-	if err != nil {
-		return placer.Task{}, err
-	}
-	if row.Version == 0 {
-		return placer.Task{}, &NoSuchJobError{
-			ID: id,
-		}
-	}
-	return DecodeTask(row)
 }
 
-// List returns jobs of a cell by id, after an id, at most limit of them.
+// List returns jobs of a cell by id, after an id, those that have not ended
+// first, at most limit of each.
 func (j *Jobs) List(ctx context.Context, cell, after string, limit int) ([]placer.Task, error) {
-	start := ""
-	if after != "" {
-		start = TaskKey(after)
-	}
-	rows, err := j.table.Scan(ctx, taskPrefix(cell), start, limit)
-	if err != nil {
-		return nil, err
-	}
-	tasks := make([]placer.Task, 0, len(rows))
-	for _, row := range rows {
-		task, err := DecodeTask(row)
+	var tasks []placer.Task
+	for _, key := range []func(id string) string{TaskKey, EndedKey} {
+		start := ""
+		if after != "" {
+			start = key(after)
+		}
+		rows, err := j.table.Scan(ctx, key(cell+"/"), start, limit)
 		if err != nil {
 			return nil, err
 		}
-		tasks = append(tasks, task)
+		for _, row := range rows {
+			task, err := DecodeTask(row)
+			if err != nil {
+				return nil, err
+			}
+			tasks = append(tasks, task)
+		}
 	}
 	return tasks, nil
 }
--- a/pkg/overseer/keys.go
+++ b/pkg/overseer/keys.go
@@ -38,6 +38,16 @@
 	return "task/" + id
 }
 
+// EndedKey is the key of the row of a task that has ended. Such rows stand
+// apart, so that a new owner reads only what is still to be done.
+func EndedKey(id string) string {
+	return "ended/" + id
+}
+
+func endedPrefix(cell string) string {
+	return "ended/" + cell + "/"
+}
+
 func taskPrefix(cell string) string {
 	return "task/" + cell + "/"
 }
--- a/pkg/placer/action.go
+++ b/pkg/placer/action.go
@@ -47,11 +47,15 @@
 }
 
 // Sync is all that is sent to a worker at once: a lease in the worker's own
-// clock, and commands. A worker refuses epochs below the highest it has seen.
+// clock, and commands. A worker refuses epochs below the highest it has seen,
+// and passes over lease and commands that are meant for another incarnation:
+// its clock is another one, and what was placed on its predecessor will be
+// placed elsewhere.
 type Sync struct {
 	Worker           string    `json:"worker"`
 	Cell             string    `json:"cell"`
 	Epoch            uint64    `json:"epoch"`
+	Incarnation      uint64    `json:"incarnation"`
 	LeaseUntilMillis int64     `json:"lease-until-millis"`
 	Commands         []Command `json:"commands"`
 }
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -17,6 +17,8 @@
 	maxFailures = 3
 	// clockMargin is allowed for clocks that run at different rates.
 	clockMargin = 500 * time.Millisecond
+	// maxMisses bounds the tasks unlike each other that are tried in vain.
+	maxMisses = 100
 	// maxCommitRows bounds one transaction.
 	maxCommitRows = 500
 )
@@ -381,8 +383,14 @@
 // place binds waiting tasks to workers, most urgent first, then oldest.
 func (c *Cell) place() {
 	waiting := c.queue[:0]
+	var misses misses
 	for _, e := range c.queue {
+		if misses.covers(e) || !c.withinQuota(e) {
+			waiting = append(waiting, e)
+			continue
+		}
 		if !c.placeOne(e) {
+			misses.add(e)
 			waiting = append(waiting, e)
 		}
 	}
@@ -390,10 +398,35 @@
 	c.queue = waiting
 }
 
-func (c *Cell) placeOne(e *entry) bool {
-	if !c.withinQuota(e) {
-		return false
+// misses are tasks that fitted nowhere, so that a long queue of tasks like
+// them costs little.
+type misses struct {
+	tasks []*entry
+}
+
+func (m *misses) add(e *entry) {
+	m.tasks = append(m.tasks, e)
+}
+
+// covers tells whether a task needs no less than one that fitted nowhere, or
+// whether too many were tried in vain.
+func (m *misses) covers(e *entry) bool {
+	if len(m.tasks) >= maxMisses {
+		return true
+	}
+	for _, missed := range m.tasks {
+		if missed.AcceptedAt.After(e.AcceptedAt) {
+			// An older task may have run out of patience.
+			continue
+		}
+		if missed.Spec.Class == e.Spec.Class && missed.Spec.Kind == e.Spec.Kind && within(missed.Spec.Needs, e.Spec.Needs) {
+			return true
+		}
 	}
+	return false
+}
+
+func (c *Cell) placeOne(e *entry) bool {
 	fitting := c.withinLimits(e, c.fitting(e))
 	if len(fitting) == 0 {
 		return false
@@ -452,7 +485,7 @@
 func (c *Cell) bind(e *entry) {
 	if w := c.workers[e.Worker]; w != nil {
 		w.tasks[e.Spec.ID] = e
-		w.changedAt = c.now
+		w.changed(c.now)
 	}
 	if e.Spec.Class == ClassBatch && !e.counted {
 		e.counted = true
@@ -464,7 +497,7 @@
 func (c *Cell) release(e *entry) {
 	if w := c.workers[e.Worker]; w != nil {
 		delete(w.tasks, e.Spec.ID)
-		w.changedAt = c.now
+		w.changed(c.now)
 		if w.ledger != nil {
 			w.ledger.Release(e.Spec.ID)
 		}
@@ -498,6 +531,9 @@
 	err := c.machine.Fire(t)
 	c.assert.Check(err == nil, "task-life-cycle", "task", e.Spec.ID, "state", e.State, "trigger", t)
 	c.changed[e.Spec.ID] = e
+	if e.State.Final() {
+		e.EndedAt = c.now
+	}
 	switch e.State {
 	case StateDone:
 		c.Counts.Done++
--- a/pkg/placer/cell_test.go
+++ b/pkg/placer/cell_test.go
@@ -301,3 +301,53 @@
 		})
 	}
 }
+
+// BenchmarkTickWithQueue tells what a tick costs while the workers are full and
+// tasks wait.
+func BenchmarkTickWithQueue(b *testing.B) {
+	for _, waiting := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
+			c := testCell(b, 30)
+			for i := range 30 * 10 {
+				c.Accept(start, spec(fmt.Sprint("full-", i), 3000), start)
+			}
+			c.Tick(start)
+			committed(c, start)
+			for i := range waiting {
+				c.Accept(start, spec(fmt.Sprint("waits-", i), 3000), start)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Tick(start)
+			}
+		})
+	}
+}
+
+func TestTasksThatCannotStartHoldUpNobody(t *testing.T) {
+	t.Run("a team at its quota", func(t *testing.T) {
+		c := testCell(t, 4)
+		c.SetQuota("condor", publisher.Resources{ProcessorMillis: 1000, MemoryBytes: 1 << 40})
+		for i := range 3 * maxMisses {
+			c.Accept(start, spec(fmt.Sprint("blocked-", i), 1000), start)
+		}
+		other := spec("other", 1000)
+		other.Team = "lisciva"
+		c.Accept(start, other, start.Add(time.Second))
+		c.Tick(start)
+		assert.Equal(t, stateOf(t, c, "other"), StatePlaced)
+	})
+	t.Run("many large tasks", func(t *testing.T) {
+		c := testCell(t, 4)
+		for i := range 4 {
+			c.Accept(start, spec(fmt.Sprint("full-", i), 20_000), start)
+		}
+		c.Tick(start)
+		for i := range 3 * maxMisses {
+			c.Accept(start, spec(fmt.Sprint("large-", i), 29_000), start)
+		}
+		c.Accept(start, spec("small", 1000), start.Add(time.Second))
+		c.Tick(start)
+		assert.Equal(t, stateOf(t, c, "small"), StatePlaced)
+	})
+}
--- a/pkg/placer/interference.go
+++ b/pkg/placer/interference.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -105,31 +104,42 @@
 	return true
 }
 
-// mix returns the weights of the kinds of batch tasks on a worker.
-func (w *worker) mix() map[string]float64 {
-	kinds := map[string]float64{}
-	for _, e := range w.tasks {
-		if e.Spec.Class != ClassBatch {
-			continue
-		}
-		weight := 1.0
-		if e.throttled {
-			weight = throttledWeight
-		}
-		kinds[e.Spec.Kind] += weight
-	}
-	return kinds
+// colocated is what runs on a worker, as far as interference goes.
+type colocated struct {
+	// kinds are the weights of the kinds of batch tasks.
+	kinds map[string]float64
+	// services are the latency-critical services.
+	services []string
 }
 
-// services returns the latency-critical services on a worker.
-func (w *worker) services() []string {
-	names := map[string]bool{}
+// mix returns what runs on a worker; it is counted anew after a change.
+func (w *worker) mix() colocated {
+	if w.mixed != nil {
+		return *w.mixed
+	}
+	m := colocated{
+		kinds: map[string]float64{},
+	}
 	for _, e := range w.tasks {
-		if e.Spec.Class == ClassLatencyCritical {
-			names[e.Spec.Service] = true
+		switch {
+		case e.Spec.Class == ClassLatencyCritical:
+			if !slices.Contains(m.services, e.Spec.Service) {
+				m.services = append(m.services, e.Spec.Service)
+			}
+		case e.throttled:
+			m.kinds[e.Spec.Kind] += throttledWeight
+		default:
+			m.kinds[e.Spec.Kind]++
 		}
 	}
-	return slices.Sorted(maps.Keys(names))
+	w.mixed = &m
+	return m
+}
+
+// changed notes that a task came, went, was held back or let go.
+func (w *worker) changed(now time.Time) {
+	w.changedAt = now
+	w.mixed = nil
 }
 
 // watchServices learns from the slowdowns in a report and reacts to them. A
@@ -144,7 +154,7 @@
 		if e == nil || t.Slowdown == 0 || e.Spec.Class != ClassLatencyCritical {
 			continue
 		}
-		c.Interference.Learn(e.Spec.Service, w.mix(), t.Slowdown)
+		c.Interference.Learn(e.Spec.Service, w.mix().kinds, t.Slowdown)
 		if t.Slowdown > worst {
 			worst, service = t.Slowdown, e.Spec.Service
 		}
@@ -162,7 +172,7 @@
 func (c *Cell) relieve(w *worker, service string) {
 	if e := c.heaviest(w, service, false); e != nil && c.Colocation.Throttle {
 		e.throttled = true
-		w.changedAt = c.now
+		w.changed(c.now)
 		c.Counts.Throttled++
 		return
 	}
@@ -170,7 +180,7 @@
 	if e == nil || !c.Colocation.Evict || c.Colocation.Ration && !c.ration.spend(c.now) {
 		return
 	}
-	w.changedAt = c.now
+	w.changed(c.now)
 	c.Evict(c.now, e.Spec.ID, "it slows "+service)
 }
 
@@ -180,13 +190,12 @@
 	if e == nil {
 		return
 	}
-	kinds := w.mix()
-	kinds[e.Spec.Kind] += 1 - throttledWeight
-	if c.Interference.Predict(service, kinds) > slowdownLimit {
+	more := (1 - throttledWeight) * c.Interference.excess[pair{service, e.Spec.Kind}]
+	if c.Interference.Predict(service, w.mix().kinds)+more > slowdownLimit {
 		return
 	}
 	e.throttled = false
-	w.changedAt = c.now
+	w.changed(c.now)
 }
 
 // heaviest returns the running batch task, throttled or not, that is believed
@@ -230,11 +239,11 @@
 
 // slowdownWith predicts the worst slowdown on a worker with one more task.
 func (c *Cell) slowdownWith(w *worker, kind string) float64 {
-	kinds := w.mix()
-	kinds[kind]++
+	m := w.mix()
 	worst := 1.0
-	for _, service := range w.services() {
-		worst = max(worst, c.Interference.Predict(service, kinds))
+	for _, service := range m.services {
+		more := c.Interference.excess[pair{service, kind}]
+		worst = max(worst, c.Interference.Predict(service, m.kinds)+more)
 	}
 	return worst
 }
--- a/pkg/placer/interference_test.go
+++ b/pkg/placer/interference_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// colocated returns a cell whose one worker runs a replica and two batch tasks.
-func colocated(t *testing.T) *Cell {
+// cellWithMix returns a cell whose one worker runs a replica and two batch tasks.
+func cellWithMix(t *testing.T) *Cell {
 	c := testCell(t, 1)
 	c.SetReplicas("polls", ReplicaNeed{Team: "condor", Count: 1, Needs: spec("x", 4000).Needs})
 	for _, kind := range []string{"heavy", "light"} {
@@ -62,12 +62,12 @@
 
 func TestStepsAgainstASlowService(t *testing.T) {
 	t.Run("a report older than the last change is passed over", func(t *testing.T) {
-		c := colocated(t)
+		c := cellWithMix(t)
 		report(c, start.Add(reportLag-time.Second), 2)
 		assert.Equal(t, c.Counts.Throttled, int64(0))
 	})
 	t.Run("throttle first, then checkpoint and stop", func(t *testing.T) {
-		c := colocated(t)
+		c := cellWithMix(t)
 		now := start
 		for range 2 {
 			now = now.Add(reportLag + time.Second)
@@ -86,7 +86,7 @@
 		assert.Equal(t, evicting, 1)
 	})
 	t.Run("what is throttled is let go when the service is well", func(t *testing.T) {
-		c := colocated(t)
+		c := cellWithMix(t)
 		now := start.Add(reportLag + time.Second)
 		report(c, now, 1.4)
 		now = now.Add(reportLag + time.Second)
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -59,6 +59,7 @@
 	if !w.known {
 		return s
 	}
+	s.Incarnation = w.incarnation
 	s.LeaseUntilMillis = w.clockMillis + TaskLease.Milliseconds()
 	w.leaseEnd = w.clockAt.Add(TaskLease)
 	for _, e := range w.placed() {
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -93,8 +93,10 @@
 	// Failures counts starts that ended in failure.
 	Failures int `json:"failures,omitempty"`
 	// Evictions counts starts that were evicted.
-	Evictions int    `json:"evictions,omitempty"`
-	Reason    string `json:"reason,omitempty"`
+	Evictions int `json:"evictions,omitempty"`
+	// EndedAt is when the task came to its final state.
+	EndedAt time.Time `json:"ended-at,omitzero"`
+	Reason  string    `json:"reason,omitempty"`
 }
 
 // newLifeCycle returns the machine that moves the task that current returns.
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -70,7 +70,9 @@
 	known         bool
 	reachable     bool
 	// changedAt is when a task came, went, or was held back or let go.
-	changedAt   time.Time
+	changedAt time.Time
+	// mixed is what runs there, or nil after a change.
+	mixed       *colocated
 	clockMillis int64
 	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted ends.
--- a/pkg/receiver/jobs.go
+++ b/pkg/receiver/jobs.go
@@ -54,6 +54,7 @@
 		Workers:        e.cfg.Entry.Workers,
 		Assert:         e.assert,
 		CommitInterval: time.Duration(e.cfg.Entry.CommitInterval),
+		Retention:      overseer.DefaultRetention,
 	}, e.table, e.workers, e.loop, e.group)
 }
 
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -57,5 +57,6 @@
 guard ledger-bounds-workers pkg/placer/cell.go 's/ \|\| !w.ledger.Fits\(e.Spec.Needs\)//' $world $cell
 guard cancel-waits-for-the-stop pkg/placer/task.go 's/Permit\(triggerCancel, StateCancelling\)/Permit(triggerCancel, StateCancelled)/' $world $cell
 guard lease-in-the-workers-clock pkg/placer/output.go 's/w.leaseEnd = w.clockAt.Add\(TaskLease\)/w.leaseEnd = w.clockAt/' $world $cell
+guard only-the-same-incarnation pkg/faker/worker.go 's/if s.Incarnation != w.report.Incarnation \{/if false {/' $world $cell
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
