Prove a slow table

cause: a table that is slow rather than down was not proved change: TestSlowTable, at 0.4, 0.9 and 4 s a call before / after: none / 'go test ./pkg/experimenter -run SlowTable': new work starts at 0.4 and 0.9 s a call; at 4 s nothing new starts; 20 tasks run on through five minutes in each case and none starts twice conclusion: proved in virtual time

--- a/pkg/experimenter/cell_world.go
+++ b/pkg/experimenter/cell_world.go
@@ -49,6 +49,8 @@
 	Platform *faker.Platform
 	Owners   []*Owner
 	Workers  []*CellWorker
+	// TableDelay is the one-way delay to the table.
+	TableDelay time.Duration
 	// Running holds, by task, where it runs now.
 	Running map[string]map[string]bool
 	// Doubled lists tasks that were seen running in two places at once.
@@ -101,6 +103,7 @@
 	w := &CellWorld{
 		Clock:       *NewClock(),
 		Platform:    faker.NewPlatform(),
+		TableDelay:  callDelay,
 		Running:     map[string]map[string]bool{},
 		Starts:      map[string]int{},
 		StartedAt:   map[string]time.Time{},
@@ -285,9 +288,12 @@
 		o.w.After(callTimeout, func() { o.awake(func() { o.perform(lost()) }) })
 		return
 	}
-	o.w.After(callDelay, func() {
+	o.w.After(o.w.TableDelay, func() {
 		answer := call()
-		o.w.After(callDelay, func() { o.awake(func() { o.perform(answer()) }) })
+		if 2*o.w.TableDelay > callTimeout {
+			answer = lost
+		}
+		o.w.After(min(o.w.TableDelay, callTimeout), func() { o.awake(func() { o.perform(answer()) }) })
 	})
 }
 
--- a/pkg/experimenter/outage_test.go
+++ b/pkg/experimenter/outage_test.go
@@ -74,3 +74,31 @@
 	assert.Equal(t, w.rowsBelow("ended/"), 0)
 	assert.Equal(t, w.rowsBelow("task/"), 1)
 }
+
+// TestSlowTable makes each call to the table take long, or so long that its
+// answer always comes too late: what runs goes on, and nothing runs twice.
+func TestSlowTable(t *testing.T) {
+	for _, delay := range []time.Duration{200 * time.Millisecond, 450 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			w := testCellWorld(t, 1)
+			for i := range 20 {
+				putOnRecord(t, w, smallJob(fmt.Sprintf("long-%02d", i), 3, 3_600_000))
+			}
+			w.RunUntil(w.Now().Add(5 * time.Second))
+			w.TableDelay = delay
+			w.RunUntil(w.Now().Add(time.Minute))
+			putOnRecord(t, w, smallJob("meanwhile", 3, 1000))
+			w.RunUntil(w.Now().Add(time.Minute))
+			answers := 2*delay <= callTimeout
+			assert.Equal(t, w.Starts["cell-1/meanwhile"] == 1, answers, "started %d times", w.Starts["cell-1/meanwhile"])
+			w.RunUntil(w.Now().Add(3 * time.Minute))
+			w.TableDelay = callDelay
+			w.RunUntil(w.Now().Add(time.Minute))
+			assert.Equal(t, w.Starts["cell-1/meanwhile"], 1)
+			for i := range 20 {
+				id := fmt.Sprintf("cell-1/long-%02d", i)
+				assert.Equal(t, w.Starts[id], 1, "%s was stopped", id)
+			}
+		})
+	}
+}
