--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -21,6 +21,11 @@
 	claimLimit = 800 * time.Millisecond
 	// settleLimit bounds how long a claim is followed up in the background.
 	settleLimit = 10 * time.Minute
+	// keepAfterDeadline is how long a claim outlasts its request's deadline:
+	// a caller that sends its id again later is taken for a new one.
+	keepAfterDeadline = time.Hour
+	// sweepLimit is how many claims one look takes in.
+	sweepLimit = 100
 	// maxConflicts bounds the tries against other claims of the same id.
 	maxConflicts = 4
 )
@@ -30,6 +35,8 @@
 	RequestID string `json:"request-id"`
 	Entry     string `json:"entry"`
 	Released  bool   `json:"released"`
+	// KeepUntil is when the row may be deleted.
+	KeepUntil time.Time `json:"keep-until"`
 }
 
 // Claimer claims ids for one entry. It is safe for concurrent use.
@@ -52,7 +59,7 @@
 func (c *Claimer) Claim(ctx context.Context, a dispatcher.Claim) dispatcher.ClaimResult {
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	held, err := c.take(ctx, a.ID, key(a.Service, a.CallerID))
+	held, err := c.take(ctx, a.ID, key(a.Service, a.CallerID), a.Deadline)
 	switch {
 	case err != nil:
 		return dispatcher.ClaimUnavailable
@@ -69,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	rowKey := key(a.Service, a.CallerID)
-	held, err := c.take(ctx, a.ID, rowKey)
+	held, err := c.take(ctx, a.ID, rowKey, a.Deadline)
 	if err != nil || held == 0 {
 		return err
 	}
@@ -82,6 +89,7 @@
 				RequestID: a.ID,
 				Entry:     c.entry,
 				Released:  true,
+				KeepUntil: a.Deadline.Add(keepAfterDeadline),
 			}),
 		}},
 	})
@@ -95,7 +103,7 @@
 
 // take claims a row for a request and returns the version that it holds, or
 // nought if another request holds the row.
-func (c *Claimer) take(ctx context.Context, requestID, rowKey string) (uint64, error) {
+func (c *Claimer) take(ctx context.Context, requestID, rowKey string, deadline time.Time) (uint64, error) {
 	expect := uint64(0)
 	for range maxConflicts {
 		err := c.committer.Commit(ctx, storer.Transaction{
@@ -106,6 +114,7 @@
 				Value: encode(claim{
 					RequestID: requestID,
 					Entry:     c.entry,
+					KeepUntil: deadline.Add(keepAfterDeadline),
 				}),
 			}},
 		})
@@ -133,6 +142,38 @@
 	}
 }
 
+// Sweep deletes claims that need not be kept, looking at some after a key, and
+// returns the key to go on from. Entries may sweep at once: a claim that
+// changed meanwhile is left alone.
+func (c *Claimer) Sweep(ctx context.Context, now time.Time, after string) (string, error) {
+	rows, err := c.table.Scan(ctx, "claim/", after, sweepLimit)
+	if err != nil {
+		return after, err
+	}
+	for _, row := range rows {
+		var value claim
+		if json.Unmarshal(row.Value, &value) != nil || now.Before(value.KeepUntil) {
+			continue
+		}
+		err := c.table.Commit(ctx, storer.Transaction{
+			ID: uuid.NewString(),
+			Writes: []storer.Write{{
+				Key:    row.Key,
+				Expect: row.Version,
+				Delete: true,
+			}},
+		})
+		var conflict *storer.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			return after, err
+		}
+	}
+	if len(rows) < sweepLimit {
+		return "", nil
+	}
+	return rows[len(rows)-1].Key, nil
+}
+
 // transactionID is the same for each try of one claim.
 func transactionID(requestID string, expect uint64) string {
 	return uuid.NewSHA1(uuid.NameSpaceOID, fmt.Appendf(nil, "%s/%d", requestID, expect)).String()
--- a/pkg/claimer/claimer_test.go
+++ b/pkg/claimer/claimer_test.go
@@ -12,11 +12,14 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/faker"
 )
 
+var deadline = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
 func claimOf(id string) dispatcher.Claim {
 	return dispatcher.Claim{
 		ID:       id,
 		Service:  "central-polls",
 		CallerID: "dial-7",
+		Deadline: deadline,
 	}
 }
 
@@ -25,6 +28,7 @@
 		ID:       id,
 		Service:  "central-polls",
 		CallerID: "dial-7",
+		Deadline: deadline,
 	}
 }
 
@@ -89,3 +93,16 @@
 		assert.Equal(t, c.Claim(ctx, claimOf("a")), dispatcher.ClaimUnavailable)
 	})
 }
+
+func TestOldClaimsAreSwept(t *testing.T) {
+	platform := faker.NewPlatform()
+	c := New("entry", platform.Table())
+	assert.Equal(t, c.Claim(t.Context(), claimOf("a")), dispatcher.ClaimGranted)
+	_, err := c.Sweep(t.Context(), deadline.Add(keepAfterDeadline-1), "")
+	assert.NilError(t, err)
+	assert.Equal(t, c.Claim(t.Context(), claimOf("b")), dispatcher.ClaimTaken)
+	next, err := c.Sweep(t.Context(), deadline.Add(keepAfterDeadline), "")
+	assert.NilError(t, err)
+	assert.Equal(t, next, "")
+	assert.Equal(t, c.Claim(t.Context(), claimOf("c")), dispatcher.ClaimGranted)
+}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -130,6 +130,7 @@
 				ID:       r.ID,
 				Service:  r.Service,
 				CallerID: r.CallerID,
+				Deadline: r.Deadline,
 			},
 		})
 	default:
@@ -623,6 +624,7 @@
 					ID:       q.ID,
 					Service:  q.Service,
 					CallerID: q.CallerID,
+					Deadline: q.Deadline,
 				},
 			})
 		}
--- a/pkg/dispatcher/request.go
+++ b/pkg/dispatcher/request.go
@@ -102,6 +102,8 @@
 	ID       string
 	Service  string
 	CallerID string
+	// Deadline is that of the request; the claim must outlast it.
+	Deadline time.Time
 }
 
 // Release asks the table to give a claim back, because nothing ran under it.
@@ -109,6 +111,7 @@
 	ID       string
 	Service  string
 	CallerID string
+	Deadline time.Time
 }
 
 // Action is one outward act; exactly one field is set.
--- a/pkg/receiver/entry.go
+++ b/pkg/receiver/entry.go
@@ -36,6 +36,8 @@
 	exchangeInterval = 2 * time.Second
 	// pollInterval is the time between two reads of the document log.
 	pollInterval = time.Second
+	// sweepInterval is the time between two looks at old claims.
+	sweepInterval = time.Minute
 	// idlePoll is how often a leaving entry looks whether all is answered.
 	idlePoll = 20 * time.Millisecond
 	// noticeTime is how long a leaving entry still listens, so that the
@@ -147,6 +149,7 @@
 	group.Go(func() error { return bwserver.Run(listenCtx, h) })
 	group.Go(func() error { return e.exchange(groupCtx) })
 	group.Go(func() error { return e.poll(groupCtx) })
+	group.Go(func() error { return e.sweepClaims(groupCtx) })
 	e.log.Info("entry started", "address", e.cfg.Address, "failure-domain", e.cfg.FailureDomain)
 	finished := true
 	select {
@@ -275,6 +278,25 @@
 	})
 }
 
+// sweepClaims deletes old claims, some at a time.
+func (e *Entry) sweepClaims(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	after := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			next, err := e.claimer.Sweep(ctx, now, after)
+			if err != nil {
+				e.log.Debug("claims not swept", "error", err)
+			}
+			after = next
+		}
+	}
+}
+
 func (e *Entry) release(a dispatcher.Release) {
 	e.group.Go(func() error {
 		if err := e.claimer.Release(e.ctx, a); err != nil {
