--- a/pkg/commander/jobs.go
+++ b/pkg/commander/jobs.go
@@ -133,17 +133,10 @@
 // change carries out a change of a job.
 func (f operatorFlags) change(ctx context.Context, call operator.Call) (receiver.JobBody, error) {
 	var job receiver.JobBody
-	client, err := f.client()
+	reply, err := f.send(ctx, call)
 	if err != nil {
 		return job, err
 	}
-	reply, err := client.Do(ctx, call)
-	if err != nil {
-		return job, changeFailed(err)
-	}
-	if err := changeRefused(reply); err != nil {
-		return job, err
-	}
 	return job, json.Unmarshal(reply.Body, &job)
 }
 
--- a/pkg/commander/operators.go
+++ b/pkg/commander/operators.go
@@ -63,11 +63,7 @@
 	if err != nil {
 		return usage(errors.Wrap(err, cmd.File))
 	}
-	client, err := cmd.client()
-	if err != nil {
-		return err
-	}
-	reply, err := client.Do(ctx, operator.Call{
+	reply, err := cmd.send(ctx, operator.Call{
 		Method: "PUT",
 		Path:   fmt.Sprintf("/v1/services/%s/document?base=%d", doc.Service, cmd.Base),
 		Headers: map[string]string{
@@ -77,9 +73,6 @@
 		Once: true,
 	})
 	if err != nil {
-		return changeFailed(err)
-	}
-	if err := changeRefused(reply); err != nil {
 		return err
 	}
 	if cmd.JSON {
@@ -162,11 +155,7 @@
 
 // Run implements the command.
 func (cmd endpointDrain) Run(ctx context.Context, s *streams) error {
-	client, err := cmd.client()
-	if err != nil {
-		return err
-	}
-	reply, err := client.Do(ctx, operator.Call{
+	reply, err := cmd.send(ctx, operator.Call{
 		Method: "POST",
 		Path:   "/v1/endpoints/" + url.PathEscape(cmd.Address) + "/drain",
 		Headers: map[string]string{
@@ -174,9 +163,6 @@
 		},
 	})
 	if err != nil {
-		return changeFailed(err)
-	}
-	if err := changeRefused(reply); err != nil {
 		return err
 	}
 	if cmd.JSON {
@@ -226,6 +212,20 @@
 	return printTable(s, []string{"AT", "WHO", "WHAT", "SUBJECT", "FROM", "TO", "WHY"}, rows)
 }
 
+// send carries out a change; its error has the exit code that tells what became
+// of it.
+func (f operatorFlags) send(ctx context.Context, call operator.Call) (operator.Reply, error) {
+	client, err := f.client()
+	if err != nil {
+		return operator.Reply{}, err
+	}
+	reply, err := client.Do(ctx, call)
+	if err != nil {
+		return reply, changeFailed(err)
+	}
+	return reply, changeRefused(reply)
+}
+
 func (f operatorFlags) get(ctx context.Context, path string, into any) error {
 	client, err := f.client()
 	if err != nil {
--- /dev/null
+++ b/pkg/dispatcher/outcome.go
@@ -0,0 +1,104 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+func (d *Dispatcher) fire(now time.Time, q *request, t timer) {
+	s := d.services[q.Service]
+	switch t.kind {
+	case timerDeadline:
+		d.expire(now, s, q)
+	case timerFence:
+		if q.stage == StageFencing && q.attempt == t.attempt {
+			s.router.Failed(now, q.address)
+			d.lost(now, s, q, framer.ReasonLinkLost)
+		}
+	case timerBackoff:
+		if q.stage == StageDelayed && q.attempt == t.attempt {
+			q.stage = StageQueued
+			s.queue.Return(now, q.item())
+			d.pump(now, s)
+		}
+	}
+}
+
+// expire ends a request at its deadline with what is known of it.
+func (d *Dispatcher) expire(now time.Time, s *service, q *request) {
+	switch q.stage {
+	case StageClaiming:
+		q.claimed = true
+		d.finish(q, notRun(framer.ReasonStoreUnavailable))
+	case StageQueued:
+		s.queue.Remove(q.Kind, q.ID)
+		d.finish(q, q.unsuccessful(framer.ReasonExpired))
+	case StageDelayed:
+		d.finish(q, q.unsuccessful(framer.ReasonExpired))
+	case StageSent, StageFencing:
+		s.queue.Land(q.Kind)
+		s.queue.Learn(q.Kind, now.Sub(q.sentAt))
+		q.mayHaveRun = true
+		s.router.Failed(now, q.address)
+		d.finish(q, unknown(framer.ReasonExpired))
+		d.pump(now, s)
+	case StageDone:
+	}
+}
+
+// finish gives a request its one outcome and forgets it.
+func (d *Dispatcher) finish(q *request, outcome Outcome) {
+	d.assert.Check(q.stage != StageDone, "one-outcome-a-request", "request", q.ID)
+	d.assert.Check(outcome.Kind != NotRun || !q.mayHaveRun && q.stage != StageFencing,
+		"not-run-implies-no-start", "request", q.ID)
+	q.stage = StageDone
+	outcome.Attempts = q.attempt
+	delete(d.requests, q.ID)
+	switch outcome.Kind {
+	case Answered:
+		d.Counts.Answered++
+	case NotRun:
+		d.Counts.NotRun++
+		if q.claimed {
+			d.act(Action{
+				Release: &Release{
+					ID:       q.ID,
+					Service:  q.Service,
+					CallerID: q.CallerID,
+					Deadline: q.Deadline,
+				},
+			})
+		}
+	default:
+		d.Counts.Unknown++
+	}
+	d.act(Action{
+		Finish: &Finish{
+			ID:      q.ID,
+			Outcome: outcome,
+		},
+	})
+}
+
+// unsuccessful is not-run when that is proved, and unknown otherwise.
+func (q *request) unsuccessful(reason framer.Reason) Outcome {
+	if q.mayHaveRun {
+		return unknown(reason)
+	}
+	return notRun(reason)
+}
+
+func notRun(reason framer.Reason) Outcome {
+	return Outcome{
+		Kind:   NotRun,
+		Reason: reason,
+	}
+}
+
+func unknown(reason framer.Reason) Outcome {
+	return Outcome{
+		Kind:   Unknown,
+		Reason: reason,
+	}
+}
--- /dev/null
+++ b/pkg/overseer/commit.go
@@ -0,0 +1,179 @@
+package overseer
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+// commit writes what changed, or renews the lease, at most one write at once.
+func (c *Core) commit(now time.Time) {
+	if c.write != nil {
+		return
+	}
+	since := now.Sub(c.lastWrite)
+	interval := c.cfg.CommitInterval
+	if c.cell != nil && c.cell.Urgent() {
+		interval /= urgentShare
+	}
+	if since < interval {
+		return
+	}
+	var commit placer.Commit
+	changed := false
+	if c.cell != nil {
+		commit, changed = c.cell.Commit()
+	}
+	if changed || since >= leaser.RenewInterval {
+		c.send(now, commit, false)
+	}
+}
+
+// send builds a transaction: the cell's row guards all others, so that a
+// former owner can't write any of them.
+func (c *Core) send(now time.Time, commit placer.Commit, take bool) {
+	c.serial++
+	version, row := c.lease.Next()
+	tx := storer.Transaction{
+		ID: c.cfg.Self + "/" + c.cfg.Cell + "/" + strconv.FormatUint(c.serial, 10),
+		Writes: []storer.Write{{
+			Key:    CellKey(c.cfg.Cell),
+			Expect: version,
+			Value:  encode(row),
+		}},
+	}
+	for _, r := range commit.Rows {
+		tx.Writes = append(tx.Writes, taskWrites(r)...)
+		if r.FromInbox {
+			tx.Writes = append(tx.Writes, storer.Write{
+				Key:    inboxKey(r.Task.Spec.ID),
+				Expect: 1,
+				Delete: true,
+			})
+		}
+	}
+	for _, id := range commit.Cancels {
+		tx.Writes = append(tx.Writes, storer.Write{
+			Key:    cancelKey(id),
+			Expect: 1,
+			Delete: true,
+		})
+	}
+	for i, line := range commit.Audit {
+		tx.Writes = append(tx.Writes, storer.Write{
+			Key:   publisher.AuditKey(line.At, tx.ID+"/"+strconv.Itoa(i)),
+			Value: encode(line),
+		})
+	}
+	tx.Writes = append(tx.Writes, c.old...)
+	c.old = nil
+	c.lastWrite = now
+	c.write = &pendingWrite{
+		transaction: tx,
+		firstSent:   now,
+		waiting:     true,
+		commit:      commit,
+		take:        take,
+	}
+	c.act(Action{
+		Write: &WriteRows{
+			Transaction: tx,
+		},
+	})
+}
+
+// taskWrites keeps a task's row, or moves it to where ended tasks stand.
+func taskWrites(r placer.Row) []storer.Write {
+	id := r.Task.Spec.ID
+	if !r.Task.State.Final() {
+		return []storer.Write{{
+			Key:    TaskKey(id),
+			Expect: r.Expect,
+			Value:  encode(r.Task),
+		}}
+	}
+	ended := storer.Write{
+		Key:   EndedKey(id),
+		Value: encode(r.Task),
+	}
+	if r.Expect == 0 {
+		return []storer.Write{ended}
+	}
+	return []storer.Write{ended, {
+		Key:    TaskKey(id),
+		Expect: r.Expect,
+		Delete: true,
+	}}
+}
+
+// resend sends a transaction again whose answer was lost.
+func (c *Core) resend(now time.Time) {
+	w := c.write
+	if w == nil || w.waiting || now.Before(w.resendAt) {
+		return
+	}
+	w.waiting = true
+	c.act(Action{
+		Write: &WriteRows{
+			Transaction: w.transaction,
+		},
+	})
+}
+
+// Written takes the table's word on the transaction that is on its way. A
+// conflict means that another process owns the cell.
+func (c *Core) Written(now time.Time, id string, err error) []Action {
+	w := c.write
+	if w == nil || w.transaction.ID != id {
+		return nil
+	}
+	var conflict *storer.ConflictError
+	switch {
+	case err == nil:
+		c.write = nil
+		c.lease.Confirmed(w.firstSent)
+		c.written(now, w)
+	case errors.As(err, &conflict):
+		c.write = nil
+		c.drop(now)
+	default:
+		w.waiting = false
+		w.resendAt = now.Add(resendInterval)
+	}
+	return c.take()
+}
+
+func (c *Core) written(now time.Time, w *pendingWrite) {
+	if w.take {
+		c.loading = placer.NewCell(now, c.cfg.Cell, c.lease.Epoch(), c.cfg.Workers, c.cfg.Assert)
+		c.scan(taskPrefix(c.cfg.Cell), "", scanLimit)
+		return
+	}
+	if c.cell == nil {
+		return
+	}
+	c.cell.Committed(now, w.commit)
+	c.scanStale = c.scanStale || len(w.commit.Cancels) > 0
+	for _, row := range w.commit.Rows {
+		c.scanStale = c.scanStale || row.FromInbox
+		if row.Task.Worker != "" {
+			c.nextSync[row.Task.Worker] = now
+		}
+	}
+}
+
+// pendingWrite is the transaction that is on its way, with what it means.
+type pendingWrite struct {
+	transaction storer.Transaction
+	firstSent   time.Time
+	resendAt    time.Time
+	waiting     bool
+	commit      placer.Commit
+	take        bool
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -36,25 +36,25 @@
 world=pkg/experimenter
 random='TestRandomFaults'
 guard fence-takes-waiting-out pkg/gatekeeper/gate.go '/if rec.state == stateWaiting \{/,/^\t\}/d' $world $random
-guard non-idempotent-not-retried pkg/dispatcher/dispatcher.go 's/case !q.Idempotent \|\| /case /' $world $random
-guard replaced-is-not-proof pkg/dispatcher/dispatcher.go 's/^\tq.mayHaveRun = true\n\tswitch//; /^func \(d \*Dispatcher\) lost/,/^\}/s/q.mayHaveRun = true//' $world $random
-guard not-run-needs-proof pkg/dispatcher/dispatcher.go '/^func \(q \*request\) unsuccessful/,/^\}/s/if q.mayHaveRun/if false/' $world $random
-guard expired-in-flight-is-unknown pkg/dispatcher/dispatcher.go 's/d.finish\(q, unknown\(framer.ReasonExpired\)\)/d.finish(q, notRun(framer.ReasonExpired))/' $world $random
+guard non-idempotent-not-retried pkg/dispatcher/attempt.go 's/case !q.Idempotent \|\| /case /' $world $random
+guard replaced-is-not-proof pkg/dispatcher/attempt.go 's/^\tq.mayHaveRun = true\n\tswitch//; /^func \(d \*Dispatcher\) lost/,/^\}/s/q.mayHaveRun = true//' $world $random
+guard not-run-needs-proof pkg/dispatcher/outcome.go '/^func \(q \*request\) unsuccessful/,/^\}/s/if q.mayHaveRun/if false/' $world $random
+guard expired-in-flight-is-unknown pkg/dispatcher/outcome.go 's/d.finish\(q, unknown\(framer.ReasonExpired\)\)/d.finish(q, notRun(framer.ReasonExpired))/' $world $random
 guard claim-taken-is-refused pkg/dispatcher/dispatcher.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $world $random
-guard release-only-unrun pkg/dispatcher/dispatcher.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.act(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $world $random
-guard slots-bound-the-gate pkg/gatekeeper/gate.go 's/free := g.plan.Slots - g.total/free := 99/' $world $random
+guard release-only-unrun pkg/dispatcher/outcome.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.act(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $world $random
+guard slots-bound-the-gate pkg/gatekeeper/room.go 's/free := g.plan.Slots - g.total/free := 99/' $world $random
 guard leaving-gate-refuses pkg/gatekeeper/gate.go 's/if g.leaving \{/if false {/' $world $random
 guard silence-is-seen pkg/linker/watch.go 's/return w.pending != 0 .*/return false/' pkg/linker TestSilenceIsFound
-guard whole-answers-only pkg/dispatcher/dispatcher.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestAnswersAreWholeOrNotAtAll
+guard whole-answers-only pkg/dispatcher/attempt.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestAnswersAreWholeOrNotAtAll
 cell='TestCellUnderFaults'
-guard cell-row-guards-commits pkg/overseer/core.go '/^func \(c \*Core\) send/,/^\}/s/Key:    CellKey\(c.cfg.Cell\),/Key: CellKey(c.cfg.Cell) + tx0(c.serial),/; $a func tx0(n uint64) string { return strconv.FormatUint(n, 10) }' $world $cell
+guard cell-row-guards-commits pkg/overseer/commit.go '/^func \(c \*Core\) send/,/^\}/s/Key:    CellKey\(c.cfg.Cell\),/Key: CellKey(c.cfg.Cell) + tx0(c.serial),/; $a func tx0(n uint64) string { return strconv.FormatUint(n, 10) }' $world $cell
 guard takeover-waits-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now.Add(0 * leaser.OrphanHorizon)/' $world $cell
 guard lapse-waits-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $world $cell
 guard start-only-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $world $cell
-guard lost-answer-is-not-failure pkg/overseer/core.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $world $cell
+guard lost-answer-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $world $cell
 guard paused-owner-starts-nothing pkg/placer/output.go 's/ \|\| !mayStart//' pkg/placer TestNothingStartsBeforeItsRowIsWritten
 guard forget-after-the-row pkg/placer/output.go 's/if kind == CommandForget \&\& .*\{/if false {/' $world $cell
-guard ledger-bounds-workers pkg/placer/cell.go 's/ \|\| !w.ledger.Fits\(e.Spec.Needs\)//' $world $cell
+guard ledger-bounds-workers pkg/placer/placing.go 's/ \|\| !w.ledger.Fits\(e.Spec.Needs\)//' $world $cell
 guard cancel-waits-for-the-stop pkg/placer/task.go 's/Permit\(triggerCancel, StateCancelling\)/Permit(triggerCancel, StateCancelled)/' $world $cell
 guard lease-in-the-workers-clock pkg/placer/output.go 's/w.leaseEnd = w.clockAt.Add\(TaskLease\)/w.leaseEnd = w.clockAt/' $world $cell
 guard only-the-same-incarnation pkg/faker/worker.go 's/if s.Incarnation != w.report.Incarnation \{/if false {/' $world $cell
