--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -361,6 +361,7 @@
 }
 
 func (d *Dispatcher) addTimer(q *request, at time.Time, kind timerKind) {
+	d.timers.prune(d.requests)
 	d.timers.add(timer{
 		at:      at,
 		id:      q.ID,
--- a/pkg/dispatcher/dispatcher_test.go
+++ b/pkg/dispatcher/dispatcher_test.go
@@ -258,6 +258,19 @@
 	assert.Assert(t, refused > 150, "only %d refused early", refused)
 }
 
+func TestTimersOfEndedRequestsAreDropped(t *testing.T) {
+	d := testDispatcher(t)
+	linked(d, "a", 1_000_000)
+	for i := range 20_000 {
+		r := check(i)
+		r.Deadline = start.Add(24 * time.Hour)
+		s := starts(d.Submit(start, r))[0]
+		d.Receive(start, "a", answer(s, 0, true, "done"))
+	}
+	assert.Equal(t, d.InFlight(), 0)
+	assert.Assert(t, len(d.timers) <= 2*fewTimers, "%d timers are held", len(d.timers))
+}
+
 // BenchmarkQueuedRequest tells the bytes that one queued request costs.
 func BenchmarkQueuedRequest(b *testing.B) {
 	const requests = 50_000
--- a/pkg/dispatcher/timer.go
+++ b/pkg/dispatcher/timer.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -50,6 +51,20 @@
 	heap.Push(h, t)
 }
 
+// fewTimers is how many timers are held without a look at whether their
+// requests still are.
+const fewTimers = 1024
+
+// prune drops the timers of ended requests once they are the most, so that
+// long deadlines don't hold memory for work that is over.
+func (h *timerHeap) prune(live map[string]*request) {
+	if len(*h) < fewTimers || len(*h) < 4*len(live) {
+		return
+	}
+	*h = slices.DeleteFunc(*h, func(t timer) bool { return live[t.id] == nil })
+	heap.Init(h)
+}
+
 // due removes and returns the first timer that is due, if any.
 func (h *timerHeap) due(now time.Time) (timer, bool) {
 	if len(*h) == 0 || (*h)[0].at.After(now) {
--- a/pkg/placer/cell_test.go
+++ b/pkg/placer/cell_test.go
@@ -153,6 +153,23 @@
 	assert.Equal(t, task.Worker, "worker-001", "only one trial at a time")
 }
 
+func TestTrialThatIsCancelledEndsTheTrial(t *testing.T) {
+	c := testCell(t, 1)
+	w := c.workers["worker-000"]
+	for i := range failuresToSetAside {
+		w.noteFailure(start, fmt.Sprint(i))
+	}
+	later := start.Add(firstSetAside + time.Second)
+	c.Accept(later, spec("trial", 1000), later)
+	c.Tick(later)
+	committed(c, later)
+	c.Cancel(later, "cell-1/trial")
+	c.Reported(later, "worker-000", reportOf(1, TaskReport{ID: "cell-1/trial", Start: 1, State: RunStopped}))
+	c.Accept(later, spec("next", 1000), later)
+	c.Tick(later)
+	assert.Equal(t, stateOf(t, c, "next"), StatePlaced)
+}
+
 func TestLostWorker(t *testing.T) {
 	placed := func(t *testing.T) *Cell {
 		c := testCell(t, 2)
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -125,5 +125,7 @@
 	if len(w.failedTasks) < failuresToSetAside {
 		return true
 	}
-	return now.After(w.setAsideUntil) && !w.onTrial
+	// A trial that was cancelled or lost leaves the worker without tasks.
+	onTrial := w.onTrial && len(w.tasks) > 0
+	return now.After(w.setAsideUntil) && !onTrial
 }
