--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -57,6 +57,7 @@
 	Load          loadCommand          `cmd:"" help:"Send requests at a rate to running entries, and say what became of them."`
 	Experiment    experimentCommand    `cmd:"" help:"Compare the policy for requests with its baselines in virtual time."`
 	Colocation    colocationCommand    `cmd:"" help:"Compare the policy for batch tasks beside services with its baselines in virtual time."`
+	Overlay       overlayCommand       `cmd:"" help:"Measure exchanges of bounded views of the members."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file or a service document without running anything."`
 	StandIn       standInCommand       `cmd:"" help:"Run a small stand-in of an outside system, for tests."`
 	Service       serviceCommand       `cmd:"" help:"Read and edit service documents."`
--- /dev/null
+++ b/pkg/commander/overlay.go
@@ -0,0 +1,38 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/experimenter"
+)
+
+// overlayCommand measures exchanges of bounded views.
+type overlayCommand struct {
+	Peers []int `help:"How many peers." default:"300,1000,3000"`
+	View  int   `help:"How many links a view holds." default:"30"`
+	JSON  bool  `help:"Print JSON." name:"json"`
+}
+
+// Run implements the command.
+func (cmd overlayCommand) Run(s *streams) error {
+	var results []experimenter.OverlayResult
+	for _, peers := range cmd.Peers {
+		if peers <= cmd.View {
+			return usage(fmt.Errorf("--peers %d is not allowed; allowed: more than --view %d", peers, cmd.View))
+		}
+		for _, control := range []bool{false, true} {
+			results = append(results, experimenter.RunOverlay(peers, cmd.View, control, 1))
+		}
+	}
+	if cmd.JSON {
+		return printJSON(s, results)
+	}
+	var rows [][]string
+	for _, r := range results {
+		rows = append(rows, []string{
+			fmt.Sprint(r.Peers), fmt.Sprint(r.View), fmt.Sprint(r.Control), fmt.Sprintf("%.2f", r.Ratio), fmt.Sprintf("%.2f", r.Spread),
+			fmt.Sprint(r.CyclesToMend), fmt.Sprint(r.BytesACycle),
+		})
+	}
+	return printTable(s, []string{"PEERS", "VIEW", "DEGREE-CONTROL", "IN-DEGREE-RATIO", "SPREAD-TO-RANDOM", "CYCLES-TO-MEND", "BYTES-A-CYCLE"}, rows)
+}
