--- a/pkg/commander/processes.go
+++ b/pkg/commander/processes.go
@@ -66,6 +66,7 @@
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Incarnation: newIncarnation(),
 	})
+	expvar.Publish("entry", expvar.Func(func() any { return entry.Metrics() }))
 	return ended(entry.Run(ctx))
 }
 
@@ -94,6 +95,7 @@
 		return err
 	}
 	agent := forwarder.New(cfg, log, newAsserter(log), fr, newIncarnation())
+	expvar.Publish("agent", expvar.Func(func() any { return agent.Metrics() }))
 	return ended(agent.Run(ctx))
 }
 
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -66,14 +66,15 @@
 
 // Counts are totals of a dispatcher.
 type Counts struct {
-	Accepted int64
-	Answered int64
-	NotRun   int64
-	Unknown  int64
-	Attempts int64
-	Retries  int64
-	Bounces  int64
-	Fences   int64
+	Accepted int64 `json:"accepted"`
+	Answered int64 `json:"answered"`
+	NotRun   int64 `json:"not-run"`
+	Unknown  int64 `json:"unknown"`
+	Attempts int64 `json:"attempts"`
+	Retries  int64 `json:"retries"`
+	// Bounces counts attempts that a gate gave back without running them.
+	Bounces int64 `json:"bounces"`
+	Fences  int64 `json:"fences"`
 }
 
 // New returns a dispatcher without services.
--- a/pkg/forwarder/agent.go
+++ b/pkg/forwarder/agent.go
@@ -49,6 +49,8 @@
 	group  *errgroup.Group
 
 	leaving atomic.Bool
+	// metrics is a snapshot of the process's figures.
+	metrics atomic.Pointer[Metrics]
 
 	// The fields below belong to the control goroutine.
 	gate     *gatekeeper.Gate
@@ -89,6 +91,7 @@
 		Incarnation:   incarnation,
 		State:         framer.MemberServing,
 	})
+	a.metrics.Store(&Metrics{})
 	a.loop = looper.New(a.tick)
 	return a
 }
@@ -313,12 +316,37 @@
 	})
 }
 
+// Metrics are an agent's figures, taken once a second.
+type Metrics struct {
+	Running         int    `json:"running"`
+	Remembered      int    `json:"remembered-ids"`
+	Links           int    `json:"links"`
+	DocumentVersion uint64 `json:"document-version"`
+	Leaving         bool   `json:"leaving"`
+}
+
+// Metrics returns the newest figures.
+func (a *Agent) Metrics() Metrics {
+	return *a.metrics.Load()
+}
+
+func (a *Agent) measure() *Metrics {
+	return &Metrics{
+		Running:         a.gate.Running(),
+		Remembered:      a.gate.Remembered(),
+		Links:           len(a.links),
+		DocumentVersion: a.gate.PlanVersion(),
+		Leaving:         a.gate.Leaving(),
+	}
+}
+
 // tick returns the time until the next tick, which is longer while nothing
 // is at the gate.
 func (a *Agent) tick(now time.Time) time.Duration {
 	a.perform(now, a.gate.Tick(now))
 	if now.Sub(a.expiredAt) >= announcer.ExpireInterval {
 		a.expiredAt = now
+		a.metrics.Store(a.measure())
 		linked := a.linkedAddresses()
 		a.view.Expire(now, func(address string) bool { return linked[address] })
 	}
--- a/pkg/receiver/entry.go
+++ b/pkg/receiver/entry.go
@@ -23,6 +23,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/linker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
 	"github.com/bilberrywalk/bilberrywalk/pkg/overseer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	bwserver "github.com/bilberrywalk/bilberrywalk/pkg/server"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
@@ -64,6 +65,8 @@
 	handling atomic.Int64
 	// documents is a snapshot of the documents in force, by service.
 	documents atomic.Pointer[map[string]publisher.Document]
+	// metrics is a snapshot of the process's figures.
+	metrics atomic.Pointer[Metrics]
 
 	// The fields below belong to the control goroutine.
 	ctx        context.Context
@@ -127,6 +130,7 @@
 		shown:   map[string]uint64{},
 	}
 	e.documents.Store(&map[string]publisher.Document{})
+	e.metrics.Store(&Metrics{})
 	e.loop = looper.New(e.tick)
 	return e
 }
@@ -235,6 +239,7 @@
 	e.perform(e.dispatcher.Tick(now))
 	if now.Sub(e.expiredAt) >= announcer.ExpireInterval {
 		e.expiredAt = now
+		e.metrics.Store(e.measure())
 		for _, m := range e.view.Expire(now, e.linked) {
 			e.forget(m.Address)
 		}
@@ -249,6 +254,37 @@
 	return idleTickInterval
 }
 
+// Metrics are an entry's figures, taken once a second.
+type Metrics struct {
+	Requests dispatcher.Counts `json:"requests"`
+	InFlight int               `json:"in-flight"`
+	Linked   int               `json:"linked-endpoints"`
+	Tasks    placer.Counts     `json:"tasks"`
+	Waiting  int               `json:"waiting-tasks"`
+}
+
+// Metrics returns the newest figures.
+func (e *Entry) Metrics() Metrics {
+	return *e.metrics.Load()
+}
+
+func (e *Entry) measure() *Metrics {
+	m := &Metrics{
+		Requests: e.dispatcher.Counts,
+		InFlight: e.dispatcher.InFlight(),
+	}
+	for address := range e.links {
+		if e.linked(address) {
+			m.Linked++
+		}
+	}
+	if e.cell != nil && e.cell.Core.Cell() != nil {
+		m.Tasks = e.cell.Core.Cell().Counts
+		m.Waiting = e.cell.Core.Cell().Waiting()
+	}
+	return m
+}
+
 // perform carries out the dispatcher's decisions.
 func (e *Entry) perform(actions []dispatcher.Action) {
 	for _, action := range actions {
