--- a/pkg/commander/processes_test.go
+++ b/pkg/commander/processes_test.go
@@ -239,7 +239,7 @@
 	step(func() { s.signal("entry-1", syscall.SIGCONT) })
 	step(stop)
 	assert.NilError(t, group.Wait())
-	s.until(func() error { return jobsDone(t, s) })
+	s.until(func() error { return jobsIn(s, placer.StateDone, 8) })
 	checkAsked(t, all, s.runs())
 }
 
@@ -262,23 +262,6 @@
 	}
 }
 
-func jobsDone(t *testing.T, s *system) error {
-	var tasks []placer.Task
-	if err := s.client.Get(t.Context(), "/v1/jobs", &tasks); err != nil {
-		return err
-	}
-	done := 0
-	for _, task := range tasks {
-		if task.State == placer.StateDone {
-			done++
-		}
-	}
-	if done < 8 {
-		return fmt.Errorf("%d of 8 jobs are done", done)
-	}
-	return nil
-}
-
 // ask sends one request; an entry that can't be reached shows as no outcome.
 func ask(client *operator.Client, caller, n int) asked {
 	kind := []string{"list-check", "list-check", "dial"}[n%3]
