--- a/pkg/linker/upgrade.go
+++ b/pkg/linker/upgrade.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"crypto/sha1" //nolint:gosec // RFC 6455 names SHA-1 for the accept key.
+	"crypto/sha1" // RFC 6455 names SHA-1 for the accept key.
 	"encoding/base64"
 	"net"
 
@@ -23,7 +23,7 @@
 		c.String(consts.StatusBadRequest, "this path takes WebSocket links only\n")
 		return
 	}
-	sum := sha1.Sum([]byte(key + acceptSuffix)) //nolint:gosec // See the import.
+	sum := sha1.Sum([]byte(key + acceptSuffix))
 	c.Response.Header.Set("Upgrade", "websocket")
 	c.Response.Header.Set("Connection", "Upgrade")
 	c.Response.Header.Set("Sec-WebSocket-Accept", base64.StdEncoding.EncodeToString(sum[:]))
--- a/pkg/receiver/operators.go
+++ b/pkg/receiver/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -253,7 +254,8 @@
 	case !asked:
 		server.Refuse(c, consts.StatusNotFound, errors.Newf("no link to an endpoint at %s; see the list of endpoints", c.Param("address")))
 	default:
-		e.recordDrain(c.Param("address"), string(c.GetHeader(headerWho)))
+		// The parameter's memory is the request's.
+		e.recordDrain(strings.Clone(c.Param("address")), string(c.GetHeader(headerWho)))
 		c.JSON(consts.StatusOK, DrainBody{
 			Drained: c.Param("address"),
 		})
