Wait for the links to end before stopping the last agent

cause: TestStopFinishesWorkInFlight could send a request down a link whose end the entry had not read yet; its retry would then come after the last agent had closed its gate.

--- a/pkg/commander/processes_test.go
+++ b/pkg/commander/processes_test.go
@@ -317,6 +317,7 @@
 	for i := 1; i < 4; i++ {
 		s.kill(fmt.Sprintf("agent-%d", i))
 	}
+	s.until(func() error { return onlyOneLinked(s) })
 	var group errgroup.Group
 	for range 4 {
 		group.Go(func() error {
@@ -343,6 +344,19 @@
 	assert.NilError(t, s.processes["entry-0"].Wait())
 }
 
+// onlyOneLinked tells whether the first entry has noticed that all agents but
+// one are gone.
+func onlyOneLinked(s *system) error {
+	var status receiver.StatusBody
+	if err := s.at(0).Get(s.t.Context(), "/v1/status", &status); err != nil {
+		return err
+	}
+	if status.Linked != 1 {
+		return fmt.Errorf("%d endpoints are linked", status.Linked)
+	}
+	return nil
+}
+
 func list(addresses []string) string {
 	return `["` + strings.Join(addresses, `", "`) + `"]`
 }
