--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -61,6 +61,11 @@
 			Reason: framer.ReasonUnknownKind,
 		}
 	}
+	if k.hopeless(now, item) {
+		return &RefusedError{
+			Reason: framer.ReasonTooShort,
+		}
+	}
 	wait := k.wait(now)
 	if len(k.items) >= k.rule.MaxQueued {
 		return &RefusedError{
--- a/pkg/framer/message.go
+++ b/pkg/framer/message.go
@@ -24,6 +24,7 @@
 	ReasonBusy             Reason = "busy"
 	ReasonLeaving          Reason = "leaving"
 	ReasonExpired          Reason = "deadline-passed"
+	ReasonTooShort         Reason = "deadline-too-short"
 	ReasonFenced           Reason = "fenced"
 	ReasonDuplicate        Reason = "duplicate-request"
 	ReasonUnknownKind      Reason = "unknown-kind"
