--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -22,8 +22,8 @@
 	maxCommitRows = 500
 )
 
-// entry is a task with what its owner knows beyond the row.
-type entry struct {
+// tracked is a task with what its owner knows beyond the row.
+type tracked struct {
 	Task
 	// version is the row's version; nought means that it is not written yet.
 	version uint64
@@ -52,14 +52,13 @@
 	epoch   uint64
 	assert  *asserter.Asserter
 	now     time.Time
-	takenAt time.Time
 	workers map[string]*worker
 	// order holds the workers' addresses, sorted.
 	order []string
-	tasks map[string]*entry
+	tasks map[string]*tracked
 	// changed holds the tasks whose row is to be written.
-	changed map[string]*entry
-	queue   []*entry
+	changed map[string]*tracked
+	queue   []*tracked
 	cancels []string
 	audit   []publisher.AuditRow
 	quotas  map[string]publisher.Resources
@@ -69,7 +68,7 @@
 	serial   int
 	ration   ration
 	machine  *stateless.StateMachine
-	current  *entry
+	current  *tracked
 
 	// Choose picks a worker for a batch task among those that fit; never empty.
 	Choose func(task *Task, fitting []Candidate) Candidate
@@ -108,11 +107,10 @@
 		epoch:   epoch,
 		assert:  assert,
 		now:     now,
-		takenAt: now,
 		workers: map[string]*worker{},
 		order:   slices.Sorted(slices.Values(workers)),
-		tasks:   map[string]*entry{},
-		changed: map[string]*entry{},
+		tasks:   map[string]*tracked{},
+		changed: map[string]*tracked{},
 		quotas:  map[string]publisher.Resources{},
 		used:    map[string]publisher.Resources{},
 
@@ -130,7 +128,7 @@
 	for _, address := range workers {
 		c.workers[address] = &worker{
 			address: address,
-			tasks:   map[string]*entry{},
+			tasks:   map[string]*tracked{},
 			// Any earlier owner may have renewed leases up to here.
 			leaseEnd: now.Add(leaser.OrphanHorizon + TaskLease),
 		}
@@ -140,7 +138,7 @@
 
 // Load takes a task's row as read on takeover.
 func (c *Cell) Load(t Task, version uint64) {
-	e := &entry{
+	e := &tracked{
 		Task:           t,
 		version:        version,
 		committed:      t.State,
@@ -173,7 +171,7 @@
 	if c.tasks[spec.ID] != nil {
 		return
 	}
-	e := &entry{
+	e := &tracked{
 		Task: Task{
 			Spec:       spec,
 			State:      StateAccepted,
@@ -236,7 +234,7 @@
 }
 
 // fire moves a task and marks its row for the next commit.
-func (c *Cell) fire(e *entry, t trigger) {
+func (c *Cell) fire(e *tracked, t trigger) {
 	c.current = e
 	err := c.machine.Fire(t)
 	c.assert.Check(err == nil, "task-life-cycle", "task", e.Spec.ID, "state", e.State, "trigger", t)
@@ -255,7 +253,7 @@
 	}
 }
 
-func (c *Cell) note(what string, e *entry, from, to, why string) {
+func (c *Cell) note(what string, e *tracked, from, to, why string) {
 	c.audit = append(c.audit, publisher.AuditRow{
 		At:      c.now,
 		Who:     c.name,
--- a/pkg/placer/interference.go
+++ b/pkg/placer/interference.go
@@ -200,8 +200,8 @@
 
 // heaviest returns the running batch task, throttled or not, that is believed
 // to slow the service most.
-func (c *Cell) heaviest(w *worker, service string, throttled bool) *entry {
-	var worst *entry
+func (c *Cell) heaviest(w *worker, service string, throttled bool) *tracked {
+	var worst *tracked
 	excess := -1.0
 	for _, e := range w.placed() {
 		if e.Spec.Class != ClassBatch || e.State != StateRunning || e.throttled != throttled {
@@ -216,7 +216,7 @@
 
 // withinLimits leaves the workers on which a batch task would keep every
 // service within its limit. After its patience a task takes the least bad one.
-func (c *Cell) withinLimits(e *entry, fitting []Candidate) []Candidate {
+func (c *Cell) withinLimits(e *tracked, fitting []Candidate) []Candidate {
 	if !c.Colocation.Avoid || e.Spec.Class != ClassBatch {
 		return fitting
 	}
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -72,7 +72,7 @@
 
 // command is what a worker must be told of a task placed on it. Only a start
 // whose row is committed is ever told.
-func (c *Cell) command(e *entry, mayStart bool) (Command, bool) {
+func (c *Cell) command(e *tracked, mayStart bool) (Command, bool) {
 	command := Command{
 		ID:    e.Spec.ID,
 		Start: e.Start,
@@ -139,7 +139,7 @@
 	return commands
 }
 
-func (c *Cell) unwritten(e *entry) bool {
+func (c *Cell) unwritten(e *tracked) bool {
 	_, changed := c.changed[e.Spec.ID]
 	return changed || e.inFlight
 }
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -25,7 +25,7 @@
 	c.queue = waiting
 }
 
-func (c *Cell) placeOne(e *entry) bool {
+func (c *Cell) placeOne(e *tracked) bool {
 	fitting := c.withinLimits(e, c.fitting(e))
 	if len(fitting) == 0 {
 		return false
@@ -46,14 +46,14 @@
 	return true
 }
 
-func (c *Cell) choose(e *entry, fitting []Candidate) Candidate {
+func (c *Cell) choose(e *tracked, fitting []Candidate) Candidate {
 	if e.Spec.Class == ClassLatencyCritical {
 		return c.spreadOf(e.Spec.Service).leastShared(fitting)
 	}
 	return c.Choose(&e.Task, fitting)
 }
 
-func (c *Cell) fitting(e *entry) []Candidate {
+func (c *Cell) fitting(e *tracked) []Candidate {
 	var list []Candidate
 	for _, address := range c.order {
 		w := c.workers[address]
@@ -72,7 +72,7 @@
 }
 
 // withinQuota tells whether a team may hold one more batch task.
-func (c *Cell) withinQuota(e *entry) bool {
+func (c *Cell) withinQuota(e *tracked) bool {
 	quota := c.quotas[e.Spec.Team]
 	if e.Spec.Class != ClassBatch || quota == (publisher.Resources{}) {
 		return true
@@ -81,7 +81,7 @@
 }
 
 // bind counts a task as held by its worker and its team.
-func (c *Cell) bind(e *entry) {
+func (c *Cell) bind(e *tracked) {
 	if w := c.workers[e.Worker]; w != nil {
 		w.tasks[e.Spec.ID] = e
 		w.changed(c.now)
@@ -93,7 +93,7 @@
 }
 
 // release undoes bind once a start provably is over.
-func (c *Cell) release(e *entry) {
+func (c *Cell) release(e *tracked) {
 	if w := c.workers[e.Worker]; w != nil {
 		delete(w.tasks, e.Spec.ID)
 		w.changed(c.now)
@@ -143,16 +143,16 @@
 	})
 }
 
-func (c *Cell) enqueue(e *entry) {
+func (c *Cell) enqueue(e *tracked) {
 	at, _ := slices.BinarySearchFunc(c.queue, e, compareTurn)
 	c.queue = slices.Insert(c.queue, at, e)
 }
 
-func (c *Cell) unqueue(e *entry) {
-	c.queue = slices.DeleteFunc(c.queue, func(other *entry) bool { return other == e })
+func (c *Cell) unqueue(e *tracked) {
+	c.queue = slices.DeleteFunc(c.queue, func(other *tracked) bool { return other == e })
 }
 
-func compareTurn(a, b *entry) int {
+func compareTurn(a, b *tracked) int {
 	return cmp.Or(
 		cmp.Compare(b.Spec.Urgency, a.Spec.Urgency),
 		a.AcceptedAt.Compare(b.AcceptedAt),
@@ -163,16 +163,16 @@
 // misses are tasks that fitted nowhere, so that a long queue of tasks like
 // them costs little.
 type misses struct {
-	tasks []*entry
+	tasks []*tracked
 }
 
-func (m *misses) add(e *entry) {
+func (m *misses) add(e *tracked) {
 	m.tasks = append(m.tasks, e)
 }
 
 // covers tells whether a task needs no less than one that fitted nowhere, or
 // whether too many were tried in vain.
-func (m *misses) covers(e *entry) bool {
+func (m *misses) covers(e *tracked) bool {
 	if len(m.tasks) >= maxMisses {
 		return true
 	}
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -57,7 +57,7 @@
 }
 
 // lose returns a task whose start is gone; it resumes from its checkpoint.
-func (c *Cell) lose(e *entry, why string) {
+func (c *Cell) lose(e *tracked, why string) {
 	c.Counts.Lost++
 	c.release(e)
 	e.Reason = why
@@ -69,7 +69,7 @@
 }
 
 // giveBack puts a task back in the queue for its next start.
-func (c *Cell) giveBack(e *entry) {
+func (c *Cell) giveBack(e *tracked) {
 	c.fire(e, triggerReturn)
 	e.Worker = ""
 	e.WorkerIncarnation = 0
@@ -99,7 +99,7 @@
 	}
 }
 
-func (c *Cell) running(e *entry) {
+func (c *Cell) running(e *tracked) {
 	if e.State == StatePlaced {
 		// The row need not say more than that the task is placed.
 		_, wasChanged := c.changed[e.Spec.ID]
@@ -110,13 +110,13 @@
 	}
 }
 
-func (c *Cell) ended(e *entry, t trigger, reason string) {
+func (c *Cell) ended(e *tracked, t trigger, reason string) {
 	c.release(e)
 	e.Reason = reason
 	c.fire(e, t)
 }
 
-func (c *Cell) failed(w *worker, e *entry) {
+func (c *Cell) failed(w *worker, e *tracked) {
 	e.Failures++
 	e.avoid = w.address
 	if w.noteFailure(c.now, e.Spec.ID) {
@@ -132,7 +132,7 @@
 
 // stopped takes a start that the worker ended because it was told to, or
 // because its lease lapsed.
-func (c *Cell) stopped(e *entry, t TaskReport) {
+func (c *Cell) stopped(e *tracked, t TaskReport) {
 	if e.State == StateCancelling {
 		c.ended(e, triggerStop, "cancelled")
 		return
--- a/pkg/placer/replicas.go
+++ b/pkg/placer/replicas.go
@@ -32,7 +32,7 @@
 type replicaSet struct {
 	need ReplicaNeed
 	// tasks holds the task of each replica by its index.
-	tasks map[int]*entry
+	tasks map[int]*tracked
 	// notBefore is when a replica may get its next task.
 	notBefore map[int]time.Time
 }
@@ -47,7 +47,7 @@
 	set := c.replicas[service]
 	if set == nil {
 		set = &replicaSet{
-			tasks:     map[int]*entry{},
+			tasks:     map[int]*tracked{},
 			notBefore: map[int]time.Time{},
 		}
 		c.replicas[service] = set
@@ -56,7 +56,7 @@
 }
 
 // adopt takes a replica's task that was read from the table.
-func (c *Cell) adopt(e *entry) {
+func (c *Cell) adopt(e *tracked) {
 	if e.Spec.Class == ClassLatencyCritical {
 		c.replicaSet(e.Spec.Service).tasks[e.Spec.Replica] = e
 	}
@@ -88,9 +88,9 @@
 }
 
 // newReplica puts a replica's next task in the queue.
-func (c *Cell) newReplica(service string, need ReplicaNeed, index int) *entry {
+func (c *Cell) newReplica(service string, need ReplicaNeed, index int) *tracked {
 	c.serial++
-	e := &entry{
+	e := &tracked{
 		Task: Task{
 			Spec: Spec{
 				// The epoch and the serial make the id new in the table.
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -66,7 +66,7 @@
 	failureDomain string
 	rack          string
 	ledger        *Ledger
-	tasks         map[string]*entry
+	tasks         map[string]*tracked
 	known         bool
 	reachable     bool
 	// changedAt is when a task came, went, or was held back or let go.
@@ -85,8 +85,8 @@
 }
 
 // placed returns the tasks bound to the worker, by id.
-func (w *worker) placed() []*entry {
-	list := make([]*entry, 0, len(w.tasks))
+func (w *worker) placed() []*tracked {
+	list := make([]*tracked, 0, len(w.tasks))
 	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
 		list = append(list, w.tasks[id])
 	}
