--- a/pkg/experimenter/cell_run_test.go
+++ b/pkg/experimenter/cell_run_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -195,3 +196,61 @@
 	}
 	assert.Assert(t, done*2 > len(accepted), "only %d of %d done", done, len(accepted))
 }
+
+// TestStartMeetsASuccessor replaces a worker between the decision to place a
+// task there and the call that starts it: the successor must not start what the
+// owner will place elsewhere.
+func TestStartMeetsASuccessor(t *testing.T) {
+	turn := 0
+	w := NewCellWorld(CellConfig{
+		Seed:           1,
+		Owners:         1,
+		Workers:        3,
+		Capacity:       testCapacity,
+		Assert:         fatalAsserter(t, 1),
+		CommitInterval: overseer.DefaultCommitInterval,
+		Shape: func(c *placer.Cell) {
+			// Each start goes to another worker than the one before.
+			c.Choose = func(_ *placer.Task, fitting []placer.Candidate) placer.Candidate {
+				turn++
+				return fitting[turn%len(fitting)]
+			}
+		},
+	})
+	w.RunUntil(w.Now().Add(3 * time.Second))
+	for i := range 20 {
+		id := fmt.Sprintf("cell-1/successor-%02d", i)
+		putOnRecord(t, w, smallJob(strings.TrimPrefix(id, "cell-1/"), 9, 5000))
+		var task placer.Task
+		for task.State != placer.StatePlaced {
+			w.RunUntil(w.Now().Add(time.Millisecond))
+			task = w.placedTask(id)
+		}
+		cw := w.worker(task.Worker)
+		w.KillWorker(cw)
+		w.RebootWorker(cw)
+		for task.State != placer.StateAccepted {
+			w.RunUntil(w.Now().Add(time.Millisecond))
+			task = w.placedTask(id)
+		}
+		// The owner knows of the successor now, but can't tell it to stop.
+		w.Owners[0].noWorker[cw.Address] = true
+		w.RunUntil(w.Now().Add(4 * time.Second))
+		delete(w.Owners[0].noWorker, cw.Address)
+		w.RunUntil(w.Now().Add(10 * time.Second))
+		assert.Equal(t, len(w.Doubled), 0, "ran in two places: %v", w.Doubled)
+		assert.Assert(t, w.Starts[id] >= 1, "%s never ran", id)
+	}
+}
+
+// placedTask returns a task as the cell's owner has it.
+func (w *CellWorld) placedTask(id string) placer.Task {
+	for _, o := range w.Owners {
+		if cell := o.Core.Cell(); cell != nil {
+			if task, ok := cell.Task(id); ok {
+				return task
+			}
+		}
+	}
+	return placer.Task{}
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -47,7 +47,7 @@
 guard silence-is-seen pkg/linker/watch.go 's/return w.pending != 0 .*/return false/' pkg/linker TestSilenceIsFound
 guard whole-answers-only pkg/dispatcher/attempt.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestAnswersAreWholeOrNotAtAll
 cell='TestCellUnderFaults'
-guard cell-row-guards-commits pkg/overseer/commit.go '/^func \(c \*Core\) send/,/^\}/s/Key:    CellKey\(c.cfg.Cell\),/Key: CellKey(c.cfg.Cell) + tx0(c.serial),/; $a func tx0(n uint64) string { return strconv.FormatUint(n, 10) }' $world $cell
+guard cell-row-guards-commits pkg/overseer/commit.go 's/c.drop\(now\)/c.lease.Confirmed(w.firstSent); c.written(now, w)/' $world $cell
 guard takeover-waits-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now.Add(0 * leaser.OrphanHorizon)/' $world $cell
 guard lapse-waits-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $world $cell
 guard start-only-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $world $cell
@@ -57,6 +57,6 @@
 guard ledger-bounds-workers pkg/placer/placing.go 's/ \|\| !w.ledger.Fits\(e.Spec.Needs\)//' $world $cell
 guard cancel-waits-for-the-stop pkg/placer/task.go 's/Permit\(triggerCancel, StateCancelling\)/Permit(triggerCancel, StateCancelled)/' $world $cell
 guard lease-in-the-workers-clock pkg/placer/output.go 's/w.leaseEnd = w.clockAt.Add\(TaskLease\)/w.leaseEnd = w.clockAt/' $world $cell
-guard only-the-same-incarnation pkg/faker/worker.go 's/if s.Incarnation != w.report.Incarnation \{/if false {/' $world $cell
+guard only-the-same-incarnation pkg/faker/worker.go 's/if s.Incarnation != w.report.Incarnation \{/if false {/' $world TestStartMeetsASuccessor
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
