--- a/pkg/experimenter/random_run_test.go
+++ b/pkg/experimenter/random_run_test.go
@@ -14,49 +14,6 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/dispatcher"
 )
 
-const testDocument = `service = "central-polls"
-team = "condor"
-[endpoint]
-slots = 8
-connections = 64
-[[kind]]
-name = "list-check"
-urgency = 9
-deadline = "2s"
-run-time = "20ms"
-idempotent = true
-floor = 0.5
-ceiling = 1.0
-lend-limit = "100ms"
-max-queued = 500
-[[kind]]
-name = "dial"
-urgency = 7
-deadline = "4s"
-run-time = "50ms"
-idempotent = false
-floor = 0.1
-ceiling = 0.5
-lend-limit = "100ms"
-max-queued = 500
-[[kind]]
-name = "dialer-feed"
-urgency = 3
-deadline = "10s"
-run-time = "400ms"
-idempotent = true
-floor = 0.1
-ceiling = 0.5
-lend-limit = "1s"
-max-queued = 500
-`
-
-var testRunTimes = map[string]time.Duration{
-	"list-check":  20 * time.Millisecond,
-	"dial":        50 * time.Millisecond,
-	"dialer-feed": 400 * time.Millisecond,
-}
-
 // fatalAsserter ends the test at the first broken invariant.
 func fatalAsserter(t *testing.T, seed uint64) *asserter.Asserter {
 	return asserter.New(func(name string, pairs ...any) {
@@ -89,9 +46,9 @@
 		Endpoints: 10,
 		Domains:   []string{"quito-norte", "quito-sur", "cumbaya"},
 		Delay:     1500 * time.Microsecond,
-		Document:  testDocument,
+		Document:  experimentDocument,
 		RunTime: func(rnd *rand.Rand, kind string) time.Duration {
-			return time.Duration(float64(testRunTimes[kind]) * (0.2 + rnd.ExpFloat64()))
+			return time.Duration(float64(experimentRunTimes[kind]) * (0.2 + rnd.ExpFloat64()))
 		},
 		RetryRatio: 0.1,
 		RetryBurst: 10,
@@ -124,7 +81,7 @@
 
 // callers submit for 45 s, so that every deadline has passed at the end.
 func callers(w *World, rnd *rand.Rand) {
-	kinds := []string{"list-check", "list-check", "list-check", "list-check", "dial", "dial", "dialer-feed"}
+	kinds := []string{"check", "check", "check", "check", "dial", "dial", "feed"}
 	until := w.Now().Add(45 * time.Second)
 	n := 0
 	w.Every(3*time.Millisecond, func() bool {
