Fail a task that fits nowhere also when a worker reports late; one encoder of rows

cause: one run of ./pkg/commander next to ./pkg/experimenter failed; its output was not kept and four later runs were green. Looking for what could wait for ever: a task that came in before every worker had reported was queued, and whether it fits any was never asked again ruled out: not known to be the failure that was seen; nothing else was found change: a task that can't be placed is held against all known workers; rows are encoded in one place, tests submit jobs in one before / after: TestTaskThatFitsNowhereIsFoundOutLater red -> green conclusion: a real fault is mended; whether it was that one stays open

--- a/pkg/claimer/claimer.go
+++ b/pkg/claimer/claimer.go
@@ -85,7 +85,7 @@
 		Writes: []storer.Write{{
 			Key:    rowKey,
 			Expect: held,
-			Value: encode(claim{
+			Value: storer.Encode(claim{
 				RequestID: a.ID,
 				Entry:     c.entry,
 				Released:  true,
@@ -111,7 +111,7 @@
 			Writes: []storer.Write{{
 				Key:    rowKey,
 				Expect: expect,
-				Value: encode(claim{
+				Value: storer.Encode(claim{
 					RequestID: requestID,
 					Entry:     c.entry,
 					KeepUntil: deadline.Add(keepAfterDeadline),
@@ -182,11 +182,3 @@
 func key(service, callerID string) string {
 	return "claim/" + service + "/" + callerID
 }
-
-func encode(c claim) []byte {
-	data, err := json.Marshal(c)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a claim can always be encoded"))
-	}
-	return data
-}
--- a/pkg/commander/owner_test.go
+++ b/pkg/commander/owner_test.go
@@ -1,14 +1,12 @@
 package commander
 
 import (
-	"encoding/json"
 	"fmt"
 	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/bilberrywalk/bilberrywalk/pkg/operator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/receiver"
 )
@@ -43,22 +41,7 @@
 	s := startSystem(t)
 	owner := s.owned(0, 1, 2)
 	const jobs = 4
-	for i := range jobs {
-		body, err := json.Marshal(placer.Spec{
-			ID:            fmt.Sprintf("review-%d", i),
-			Team:          "lisciva",
-			Needs:         testNeeds(),
-			RunTimeMillis: 12_000,
-		})
-		assert.NilError(t, err)
-		reply, err := s.client.Do(t.Context(), operator.Call{
-			Method: "POST",
-			Path:   "/v1/jobs",
-			Body:   body,
-		})
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Status, 202, string(reply.Body))
-	}
+	s.submitJobs(jobs, 12_000)
 	s.until(func() error { return jobsIn(s, placer.StatePlaced, jobs) })
 	s.signal(fmt.Sprintf("entry-%d", owner), syscall.SIGSTOP)
 	others := []int{(owner + 1) % 3, (owner + 2) % 3}
--- a/pkg/commander/processes_test.go
+++ b/pkg/commander/processes_test.go
@@ -208,7 +208,7 @@
 // freezes some under load, and holds every outcome against what truly ran.
 func TestProcessesUnderKillsAndFreezes(t *testing.T) {
 	s := startSystem(t)
-	submitTestJobs(t, s)
+	s.submitJobs(8, 2000)
 	var mu sync.Mutex
 	var all []asked
 	ctx, stop := context.WithCancel(t.Context())
@@ -243,22 +243,24 @@
 	checkAsked(t, all, s.runs())
 }
 
-func submitTestJobs(t *testing.T, s *system) {
-	for i := range 8 {
+// submitJobs puts jobs on record that run for a time.
+func (s *system) submitJobs(jobs int, runMillis int64) {
+	s.t.Helper()
+	for i := range jobs {
 		body, err := json.Marshal(placer.Spec{
 			ID:            fmt.Sprintf("review-%d", i),
 			Team:          "lisciva",
 			Needs:         testNeeds(),
-			RunTimeMillis: 2000,
+			RunTimeMillis: runMillis,
 		})
-		assert.NilError(t, err)
-		reply, err := s.client.Do(t.Context(), operator.Call{
+		assert.NilError(s.t, err)
+		reply, err := s.client.Do(s.t.Context(), operator.Call{
 			Method: "POST",
 			Path:   "/v1/jobs",
 			Body:   body,
 		})
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Status, 202, string(reply.Body))
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, reply.Status, 202, string(reply.Body))
 	}
 }
 
--- a/pkg/overseer/commit.go
+++ b/pkg/overseer/commit.go
@@ -45,7 +45,7 @@
 		Writes: []storer.Write{{
 			Key:    CellKey(c.cfg.Cell),
 			Expect: version,
-			Value:  encode(row),
+			Value:  storer.Encode(row),
 		}},
 	}
 	for _, r := range commit.Rows {
@@ -68,7 +68,7 @@
 	for i, line := range commit.Audit {
 		tx.Writes = append(tx.Writes, storer.Write{
 			Key:   publisher.AuditKey(line.At, tx.ID+"/"+strconv.Itoa(i)),
-			Value: encode(line),
+			Value: storer.Encode(line),
 		})
 	}
 	tx.Writes = append(tx.Writes, c.old...)
@@ -95,12 +95,12 @@
 		return []storer.Write{{
 			Key:    TaskKey(id),
 			Expect: r.Expect,
-			Value:  encode(r.Task),
+			Value:  storer.Encode(r.Task),
 		}}
 	}
 	ended := storer.Write{
 		Key:   EndedKey(id),
-		Value: encode(r.Task),
+		Value: storer.Encode(r.Task),
 	}
 	if r.Expect == 0 {
 		return []storer.Write{ended}
--- a/pkg/overseer/jobs.go
+++ b/pkg/overseer/jobs.go
@@ -52,7 +52,7 @@
 		Writes: []storer.Write{
 			{
 				Key: inboxKey(spec.ID),
-				Value: encode(Accepted{
+				Value: storer.Encode(Accepted{
 					Spec: spec,
 					At:   now,
 				}),
--- a/pkg/overseer/keys.go
+++ b/pkg/overseer/keys.go
@@ -1,12 +1,9 @@
 package overseer
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/bilberrywalk/bilberrywalk/pkg/placer"
 )
 
@@ -67,11 +64,3 @@
 func isCancel(key string) bool {
 	return strings.HasSuffix(key, cancelSuffix)
 }
-
-func encode(value any) []byte {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a row can always be encoded"))
-	}
-	return data
-}
--- a/pkg/overseer/overseer.go
+++ b/pkg/overseer/overseer.go
@@ -45,7 +45,7 @@
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod(consts.MethodPost)
 	req.SetRequestURI("http://" + s.Worker + "/sync")
-	req.SetBody(encode(s))
+	req.SetBody(storer.Encode(s))
 	if err := c.DoTimeout(ctx, req, resp, workerCallLimit); err != nil {
 		return placer.Report{}, errors.Wrap(err, "calling a worker")
 	}
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -180,9 +180,7 @@
 		fromInbox: true,
 	}
 	c.tasks[spec.ID] = e
-	if resource := c.unfit(spec.Needs); resource != "" {
-		e.Reason = "fits no worker of the cell: " + resource
-		c.fire(e, triggerFail)
+	if c.failUnfit(e) {
 		return
 	}
 	c.enqueue(e)
--- a/pkg/placer/cell_test.go
+++ b/pkg/placer/cell_test.go
@@ -368,3 +368,14 @@
 		assert.Equal(t, stateOf(t, c, "small"), StatePlaced)
 	})
 }
+
+func TestTaskThatFitsNowhereIsFoundOutLater(t *testing.T) {
+	c := NewCell(start, "cell-1", 1, []string{"worker-000", "worker-001"}, fatal(t))
+	c.Reported(start, "worker-000", reportOf(1))
+	c.Accept(start, spec("huge", 31_000), start)
+	c.Tick(start)
+	assert.Equal(t, stateOf(t, c, "huge"), StateAccepted, "a worker that has not reported yet may be larger")
+	c.Reported(start, "worker-001", reportOf(1))
+	c.Tick(start)
+	assert.Equal(t, stateOf(t, c, "huge"), StateFailed)
+}
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -16,10 +16,11 @@
 			waiting = append(waiting, e)
 			continue
 		}
-		if !c.placeOne(e) {
-			misses.add(e)
-			waiting = append(waiting, e)
+		if c.placeOne(e) || c.failUnfit(e) {
+			continue
 		}
+		misses.add(e)
+		waiting = append(waiting, e)
 	}
 	clear(c.queue[len(waiting):])
 	c.queue = waiting
@@ -107,6 +108,17 @@
 	}
 }
 
+// failUnfit ends a task that fits no worker, once all workers are known.
+func (c *Cell) failUnfit(e *tracked) bool {
+	resource := c.unfit(e.Spec.Needs)
+	if resource == "" {
+		return false
+	}
+	e.Reason = "fits no worker of the cell: " + resource
+	c.fire(e, triggerFail)
+	return true
+}
+
 // unfit names the resource for which a task fits no worker that is known.
 func (c *Cell) unfit(needs publisher.Resources) string {
 	reason := ""
--- a/pkg/placer/replicas.go
+++ b/pkg/placer/replicas.go
@@ -109,12 +109,9 @@
 	}
 	c.tasks[e.Spec.ID] = e
 	c.changed[e.Spec.ID] = e
-	if resource := c.unfit(need.Needs); resource != "" {
-		e.Reason = "fits no worker of the cell: " + resource
-		c.fire(e, triggerFail)
-		return e
+	if !c.failUnfit(e) {
+		c.enqueue(e)
 	}
-	c.enqueue(e)
 	return e
 }
 
--- a/pkg/publisher/editor.go
+++ b/pkg/publisher/editor.go
@@ -145,7 +145,7 @@
 		return err
 	}
 	version := edit.Base + 1
-	stored := encodeRow(storedDocument{
+	stored := storer.Encode(storedDocument{
 		Text: edit.Text,
 		Who:  edit.Who,
 		At:   now,
@@ -168,14 +168,14 @@
 			},
 			{
 				Key: logKey(sequence.Version + 1),
-				Value: encodeRow(logEntry{
+				Value: storer.Encode(logEntry{
 					Service: edit.Service,
 					Version: version,
 				}),
 			},
 			{
 				Key: AuditKey(now, fmt.Sprintf("%s/%d", edit.Service, version)),
-				Value: encodeRow(AuditRow{
+				Value: storer.Encode(AuditRow{
 					At:      now,
 					Who:     edit.Who,
 					What:    "document",
@@ -241,7 +241,7 @@
 		ID: id,
 		Writes: []storer.Write{{
 			Key:   AuditKey(line.At, id),
-			Value: encodeRow(line),
+			Value: storer.Encode(line),
 		}},
 	})
 }
@@ -295,11 +295,3 @@
 func logKey(place uint64) string {
 	return fmt.Sprintf("document-log/%012d", place)
 }
-
-func encodeRow(value any) []byte {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a row can always be encoded"))
-	}
-	return data
-}
