Take the tests' ports below the range of outgoing connections

cause: TestOperatorsSession failed once in 6 copies run at once: an agent found its address in use. A port that was found free lay in the range from which the system takes ports of outgoing connections, and one took it before the agent listened.

--- a/pkg/commander/processes_test.go
+++ b/pkg/commander/processes_test.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -37,6 +36,7 @@
 	entries   []string
 	endpoints []string
 	processes map[string]*exec.Cmd
+	ports     *faker.Ports
 	client    *operator.Client
 }
 
@@ -46,20 +46,21 @@
 		t:         t,
 		dir:       t.TempDir(),
 		processes: map[string]*exec.Cmd{},
+		ports:     faker.NewPorts(),
 	}
 	s.binary = filepath.Join(s.dir, "bilberrywalk")
 	out, err := exec.Command("go", "build", "-o", s.binary, "../..").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	t.Cleanup(s.killAll)
-	s.platform = freePort(t)
+	s.platform = s.freePort()
 	s.launch("platform", "stand-in", "platform", "--address", s.platform)
 	var workers []string
 	for i := range 2 {
-		workers = append(workers, freePort(t))
+		workers = append(workers, s.freePort())
 		s.launch(fmt.Sprintf("worker-%d", i), "stand-in", "worker", "--address", workers[i])
 	}
 	for range 3 {
-		s.entries = append(s.entries, freePort(t))
+		s.entries = append(s.entries, s.freePort())
 	}
 	for i := range s.entries {
 		s.write(fmt.Sprintf("entry-%d.toml", i), fmt.Sprintf("address = %q\nfailure-domain = \"quito-norte\"\njoin = %s\nplatform = %q\n[entry]\nworkers = %s\n",
@@ -67,10 +68,10 @@
 		s.launchEntry(i)
 	}
 	for i := range 4 {
-		s.endpoints = append(s.endpoints, freePort(t))
+		s.endpoints = append(s.endpoints, s.freePort())
 		s.launch(fmt.Sprintf("endpoint-%d", i), "stand-in", "endpoint", "--address", s.endpoints[i], "--run-time", "list-check=20ms;dial=50ms;dialer-feed=400ms")
 		s.write(fmt.Sprintf("agent-%d.toml", i), fmt.Sprintf("address = %q\nfailure-domain = \"quito-norte\"\njoin = %s\nleave-grace = \"5s\"\n[agent]\nservice = \"central-polls\"\nendpoint = %q\n",
-			freePort(t), list(s.entries), s.endpoints[i]))
+			s.freePort(), list(s.entries), s.endpoints[i]))
 		s.launchAgent(i)
 	}
 	s.client, err = operator.New(s.entries)
@@ -79,6 +80,13 @@
 	return s
 }
 
+func (s *system) freePort() string {
+	s.t.Helper()
+	address, err := s.ports.Address()
+	assert.NilError(s.t, err)
+	return address
+}
+
 func (s *system) launchEntry(i int) {
 	s.launch(fmt.Sprintf("entry-%d", i), "entry", "--settings", filepath.Join(s.dir, fmt.Sprintf("entry-%d.toml", i)))
 }
@@ -363,14 +371,6 @@
 	return `["` + strings.Join(addresses, `", "`) + `"]`
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func testNeeds() publisher.Resources {
 	return publisher.Resources{
 		ProcessorMillis: 4000,
--- a/pkg/demonstrator/fleet.go
+++ b/pkg/demonstrator/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +37,7 @@
 	group  *errgroup.Group
 	ctx    context.Context
 	seed   uint64
+	ports  *faker.Ports
 
 	workerAddresses []string
 }
@@ -61,8 +61,9 @@
 		framer: fr,
 		group:  group,
 		ctx:    ctx,
+		ports:  faker.NewPorts(),
 	}
-	platform, err := freeAddress()
+	platform, err := f.ports.Address()
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +88,7 @@
 func (f *Fleet) startWorkers() error {
 	const workers, perRack = 4, 3
 	for i := range workers {
-		address, err := freeAddress()
+		address, err := f.ports.Address()
 		if err != nil {
 			return err
 		}
@@ -105,7 +106,7 @@
 func (f *Fleet) startEntries(platform string) error {
 	const entries = 3
 	for range entries {
-		address, err := freeAddress()
+		address, err := f.ports.Address()
 		if err != nil {
 			return err
 		}
@@ -138,11 +139,11 @@
 }
 
 func (f *Fleet) startEndpoint(s site, domain string) error {
-	endpointAddress, err := freeAddress()
+	endpointAddress, err := f.ports.Address()
 	if err != nil {
 		return err
 	}
-	agentAddress, err := freeAddress()
+	agentAddress, err := f.ports.Address()
 	if err != nil {
 		return err
 	}
@@ -183,13 +184,3 @@
 	}
 	return nil
 }
-
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "looking for a free port")
-	}
-	address := l.Addr().String()
-	return address, errors.Wrap(l.Close(), fmt.Sprintf("giving %s back", address))
-}
