--- a/pkg/overseer/keys.go
+++ b/pkg/overseer/keys.go
@@ -16,14 +16,8 @@
 	At   time.Time   `json:"at"`
 }
 
-// A task's id starts with its cell's name, so that its rows are found from the
-// id alone.
-
-// CellOf returns the cell that a task's id names.
-func CellOf(id string) string {
-	cell, _, _ := strings.Cut(id, "/")
-	return cell
-}
+// A task's id starts with its cell's name, so that all rows of a cell's tasks
+// stand together.
 
 // CellKey is the key of a cell's row.
 func CellKey(cell string) string {
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -144,7 +144,7 @@
 	return changed || e.inFlight
 }
 
-// Urgent tells whether a waiting commit should not be held back for grouping.
+// Urgent tells whether a commit waits that should be held back less for grouping.
 func (c *Cell) Urgent() bool {
 	for _, e := range c.changed {
 		if e.State == StatePlaced && e.Spec.Urgency >= urgentLevel {
@@ -154,7 +154,7 @@
 	return false
 }
 
-// urgentLevel is the lowest urgency whose starts are committed at once.
+// urgentLevel is the lowest urgency whose starts are committed sooner.
 const urgentLevel = 7
 
 // Workers returns the addresses of the cell's workers.
