Learn interference from every listing, not only from runners that stand still

cause: the fourth column of a listing is how much of its work a run has done; the learner took it for the pace and waited until it had not changed for 0.7 s, so it learnt next to nothing while batch tasks ran.

--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -71,7 +71,8 @@
 type RunStatus struct {
 	RunRef
 	Checkpoint string `cbor:"checkpoint,omitempty"`
-	// Percent is the share of its pace at which the run works.
+	// Percent is how much of its work the run has done; a run that lasts is at
+	// work once it is 100.
 	Percent int `cbor:"percent"`
 	// Figure tells of the last half second: the tail latency in milliseconds
 	// of a run that serves, else the thousandths of processors in use.
--- a/pkg/scheduler/cell_test.go
+++ b/pkg/scheduler/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -496,8 +497,8 @@
 	b.settle()
 	b.starts("x")
 	for range 50 {
-		b.cell.interference.observe("feed", mix{"heavy": 0.1}, 3)
-		b.cell.interference.observe("feed", mix{}, 0.5)
+		b.cell.interference.observe("feed", mix{"heavy": 0.1}, math.Log(3))
+		b.cell.interference.observe("feed", mix{}, math.Log(0.5))
 	}
 	filler := cores(3, 4000)
 	filler.Fills = true
--- a/pkg/scheduler/interference.go
+++ b/pkg/scheduler/interference.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 )
 
@@ -18,9 +17,9 @@
 	noise       = 0.3
 	// forgetting makes what was learnt long ago count for less.
 	forgetting = 0.998
-	// settleTime is how long the tasks of a runner must be unchanged before
-	// its figures tell of them.
-	settleTime = 700 * time.Millisecond
+	// learnInterval is the time that a runner's figures cover; those that come
+	// sooner repeat what is known.
+	learnInterval = 450 * time.Millisecond
 	// headroom is how far below its target, as a logarithm, a serving task
 	// must stay by what was learnt for a filling task to come beside it.
 	headroom = 0.5
@@ -100,11 +99,24 @@
 	return x
 }
 
-// observe learns from one measured tail latency, as a share of its target.
+// mean is the mean of some values.
+type mean struct {
+	sum   float64
+	count int
+}
+
+func (m *mean) add(value float64) {
+	m.sum += value
+	m.count++
+}
+
+func (m *mean) value() float64 {
+	return m.sum / float64(max(1, m.count))
+}
+
+// observe learns from one measured tail latency, as the logarithm of its share
+// of the target.
 func (n *interference) observe(serving string, fillers mix, load float64) {
-	if load <= 0 {
-		return
-	}
 	m := n.model(serving)
 	x := m.features(fillers)
 	gain := make([]float64, len(x))
@@ -117,7 +129,7 @@
 		expected += m.weights[i] * x[i]
 		total += gain[i] * x[i]
 	}
-	miss := math.Log(load) - expected
+	miss := load - expected
 	for i := range x {
 		m.weights[i] += gain[i] / total * miss
 	}
--- a/pkg/scheduler/interference_test.go
+++ b/pkg/scheduler/interference_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -19,7 +20,7 @@
 			"light": rnd.Float64() * 0.3,
 		}
 		load := -0.8 + 4*fillers["heavy"] + 0.3*rnd.NormFloat64()
-		n.observe("feed", fillers, math.Exp(load))
+		n.observe("feed", fillers, load)
 	}
 	return n
 }
@@ -46,8 +47,39 @@
 	assert.Assert(t, !n.bears(map[string]int{"feed": 1}, mix{"new": 0.2}, "new", 0.1))
 }
 
-func TestAFigureOfNoughtTeachesNothing(t *testing.T) {
-	n := newInterference()
-	n.observe("feed", mix{"new": 0.5}, 0)
-	assert.Equal(t, len(n.models), 0)
+func TestFiguresTeachWhileTasksProgress(t *testing.T) {
+	b := newBed(t, "x")
+	serving := cores(1, 10_000)
+	serving.LongRunning = true
+	serving.TargetMillis = 20
+	serving.Image = "feed"
+	filler := cores(1, 6400)
+	filler.Fills = true
+	filler.Image = "heavy"
+	b.add("s", "checks", serving)
+	b.add("f", "reviews", filler)
+	b.settle()
+	b.starts("x")
+	running := b.runners["x"].Running
+	assert.Equal(t, len(running), 2)
+	learn := func(servingFigure float64) {
+		for i := range running {
+			running[i].Percent = (running[i].Percent + 5) % 100
+			running[i].Figure = 6400
+			if running[i].Task == "s.0.0.0" {
+				running[i].Figure = servingFigure
+			}
+		}
+		b.pass(100 * time.Millisecond)
+	}
+	for range 100 {
+		learn(18)
+	}
+	const pressing = 0.9 - 0.1
+	assert.Assert(t, b.cell.interference.press("feed", "heavy")*0.2 > pressing/2, "got %g", b.cell.interference.press("feed", "heavy"))
+	t.Run("but a figure of nought teaches nothing", func(t *testing.T) {
+		before := b.cell.interference.load("feed", mix{})
+		learn(0)
+		assert.Equal(t, b.cell.interference.load("feed", mix{}), before)
+	})
 }
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"maps"
+	"math"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
@@ -197,35 +197,34 @@
 	}
 }
 
-// learn takes the figures of a runner whose tasks and paces have not changed
-// for a while.
+// learn takes the figures of a runner on which tasks serve. Those of both kinds
+// cover the same half second, so they belong together whatever changes there.
 func (c *Cell) learn(now time.Time, s *site, running []framer.RunStatus) {
-	if len(s.serving) == 0 {
+	if len(s.serving) == 0 || now.Sub(s.learntAt) < learnInterval {
 		return
 	}
-	paces := map[framer.RunRef]int{}
+	s.learntAt = now
 	fillers := mix{}
+	loads := map[string]*mean{}
 	for _, status := range running {
-		paces[status.RunRef] = status.Percent
 		t := c.find(s, status.RunRef)
-		if t != nil && t.spec().Fills {
-			fillers[t.spec().Image] += status.Figure / float64(max(1, s.info.ProcessorMillis))
+		if t == nil {
+			continue
 		}
-	}
-	if !maps.Equal(paces, s.paces) {
-		s.paces = paces
-		s.mixedAt = now
-		return
-	}
-	if now.Sub(s.mixedAt) < settleTime {
-		return
-	}
-	for _, status := range running {
-		t := c.find(s, status.RunRef)
-		if t != nil && t.spec().TargetMillis > 0 {
-			c.interference.observe(t.spec().Image, fillers, status.Figure/t.spec().TargetMillis)
+		step := t.spec()
+		switch {
+		case step.Fills:
+			fillers[step.Image] += status.Figure / float64(max(1, s.info.ProcessorMillis))
+		case step.TargetMillis > 0 && status.Figure > 0:
+			if loads[step.Image] == nil {
+				loads[step.Image] = &mean{}
+			}
+			loads[step.Image].add(math.Log(status.Figure / step.TargetMillis))
 		}
 	}
+	for image, load := range loads {
+		c.interference.observe(image, fillers, load.value())
+	}
 }
 
 // ended takes the end of a run.
--- a/pkg/scheduler/site.go
+++ b/pkg/scheduler/site.go
@@ -54,9 +54,8 @@
 	// serving and filling count the tasks of each image.
 	serving map[string]int
 	filling map[string]int
-	// mixedAt is when the tasks or their paces last changed.
-	mixedAt time.Time
-	paces   map[framer.RunRef]int
+	// learntAt is when the figures of its tasks were last learnt from.
+	learntAt time.Time
 	// strays are runs that should not be there.
 	strays map[framer.RunRef]publisher.Resources
 	// ordered holds the runs that the runner was told to start, and when that
