Hear of a runner at once: first listing without a wait, reports with its age

cause: after all power was lost the new owner had read its rows 0.36 s after the processes started, but placed nothing for 1.0 s more: the first listing of a runner's life waited for an end, as long as idle runners are asked to wait, and a new owner was not told of a listing that a former one had heard of. ruled out: reading the rows (60 ms), links (10 ms), the lease (200 ms). change: the first listing of a life asks for no wait; reports say how long ago the runner answered.

--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -116,8 +116,10 @@
 	Runner RunnerInfo `cbor:"runner"`
 	// ClockMillis is the runner's clock, read before the report was sent.
 	ClockMillis int64 `cbor:"clock-millis"`
-	// Fresh is set when the runner answered since the last report.
-	Fresh bool `cbor:"fresh,omitempty"`
+	// Fresh is set once the runner answered the agent, and AgeMillis is how long
+	// ago it last did.
+	Fresh     bool  `cbor:"fresh,omitempty"`
+	AgeMillis int64 `cbor:"age-millis,omitempty"`
 	// Started lists runs that the runner took.
 	Started []RunRef    `cbor:"started,omitempty"`
 	Running []RunStatus `cbor:"running,omitempty"`
--- a/pkg/holder/core.go
+++ b/pkg/holder/core.go
@@ -74,7 +74,8 @@
 	sequence int64
 	// clockMillis is the runner's clock as last read.
 	clockMillis int64
-	fresh       bool
+	// answeredAt is when this life of the runner last answered.
+	answeredAt time.Time
 	// listedAt is when this life of the runner last listed its runs.
 	listedAt time.Time
 
@@ -175,7 +176,8 @@
 	}
 	c.Counts.Lives++
 	c.clockMillis = 0
-	c.fresh = false
+	c.answeredAt = time.Time{}
+	c.listedAt = time.Time{}
 	c.endsSeen = 0
 	c.endsTold = 0
 	c.leaseUntilMillis = 0
@@ -285,11 +287,13 @@
 		Epoch:       c.epoch,
 		Runner:      c.runner,
 		ClockMillis: c.clockMillis,
-		Fresh:       c.fresh,
+		Fresh:       !c.answeredAt.IsZero(),
 		Running:     slices.Clone(c.running),
 		Ended:       slices.Clone(c.ended),
 	}
-	c.fresh = false
+	if r.Fresh {
+		r.AgeMillis = now.Sub(c.answeredAt).Milliseconds()
+	}
 	for _, ref := range slices.SortedFunc(maps.Keys(c.orders), compareRefs) {
 		switch c.orders[ref].phase {
 		case phaseStarted:
--- a/pkg/holder/core_test.go
+++ b/pkg/holder/core_test.go
@@ -325,3 +325,29 @@
 	b.tick()
 	assert.Equal(t, b.count(isStart), 1)
 }
+
+func TestOwnerHearsOfARunnerAtOnce(t *testing.T) {
+	b := newBed(t)
+	assert.Equal(t, b.take(isHold).Hold.Wait, time.Duration(0), "the first listing waits for nothing")
+	b.open = append(b.open, Action{
+		Hold: &HoldCall{
+			Order: b.core.order(),
+		},
+	})
+	b.listed(100, Listing{})
+	b.pass(reportInterval)
+	b.pass(300 * time.Millisecond)
+	b.core.Reconnected(b.now)
+	b.tick()
+	last := b.reports[len(b.reports)-1]
+	assert.Assert(t, last.Fresh)
+	assert.Equal(t, last.AgeMillis, (reportInterval + 300*time.Millisecond).Milliseconds(), "also for an owner that missed the report of it")
+	t.Run("and once more in its next life", func(t *testing.T) {
+		b.take(isHold)
+		b.beat("i-1", 6000, false)
+		b.core.Held(b.now, HoldCall{}, Listing{}, nil)
+		b.tick()
+		assert.Assert(t, !b.reports[len(b.reports)-1].Fresh)
+		assert.Equal(t, b.take(isHold).Hold.Wait, time.Duration(0))
+	})
+}
--- a/pkg/holder/listing.go
+++ b/pkg/holder/listing.go
@@ -34,8 +34,12 @@
 	return c.endsSeen
 }
 
-// holdWait is how long the runner may wait for an end before it answers.
+// holdWait is how long the runner may wait for an end before it answers. The
+// owner starts nothing on a runner that never listed its runs.
 func (c *Core) holdWait() time.Duration {
+	if c.listedAt.IsZero() {
+		return 0
+	}
 	for _, o := range c.orders {
 		if o.phase == phaseSettling || o.phase == phaseStopping {
 			return 0
@@ -66,7 +70,7 @@
 		return
 	}
 	c.listedAt = now
-	c.readClock(l.ClockMillis)
+	c.readClock(now, l.ClockMillis)
 	c.endsTold = max(c.endsTold, call.EndsSeen)
 	news := c.listed(l)
 	c.settle(now, l)
@@ -120,9 +124,9 @@
 	}
 }
 
-func (c *Core) readClock(clockMillis int64) {
+func (c *Core) readClock(now time.Time, clockMillis int64) {
 	if clockMillis > c.clockMillis {
 		c.clockMillis = clockMillis
-		c.fresh = true
+		c.answeredAt = now
 	}
 }
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -19,7 +19,7 @@
 		s.clockAt = now
 	}
 	if r.Fresh {
-		s.freshAt = now
+		s.freshAt = maxTime(s.freshAt, now.Add(-time.Duration(r.AgeMillis)*time.Millisecond))
 	}
 	s.dirty = true
 	for _, ref := range r.Started {
