Take the cell of an owner that writes no more after 1.1 s instead of 3 s

While the store is slow the row is left alone for 2.5 s. The owner's term is 1.7 s, renewals come after 0.35 s.

--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -12,12 +12,17 @@
 )
 
 const (
-	// ownFor and takeAfter are the terms of the cell's lease: short, so that
-	// a new owner is in charge before the runners' leases lapse.
-	ownFor    = 2500 * time.Millisecond
-	takeAfter = 3 * time.Second
+	// ownFor is how long an owner may start runs and grant leases after a write
+	// that the store confirmed.
+	ownFor = 1700 * time.Millisecond
+	// takeAfter is how long the cell's row must stand unchanged before another
+	// process takes it, and slowTakeAfter the same while the store is slow,
+	// which delays the owner's writes. The row's version decides between the
+	// two, and agents refuse the former owner.
+	takeAfter     = 1100 * time.Millisecond
+	slowTakeAfter = 2500 * time.Millisecond
 	// renewInterval is the time between two renewals of a quiet owner.
-	renewInterval = 700 * time.Millisecond
+	renewInterval = 350 * time.Millisecond
 	// resendPause is the wait before a write that failed is sent again.
 	resendPause = 100 * time.Millisecond
 	// leaseDriftPercent and leaseMargin allow for runners' slow clocks.
@@ -88,7 +93,7 @@
 // seek takes the cell's lease when nobody holds it.
 func (e *Entry) seek(now time.Time) {
 	o := &e.owner
-	if o.write != nil || o.leaving || !e.leaseRead || !o.lease.MayTake(now) {
+	if o.write != nil || o.leaving || !e.leaseRead || !mayTake(now, o.lease, e.relay.Slow()) {
 		return
 	}
 	e.send(now, &write{
@@ -96,6 +101,22 @@
 	})
 }
 
+// mayTake tells whether the cell may be taken now. A slow store delays the
+// owner's writes, which is no reason to replace it.
+func mayTake(now time.Time, lease *leaser.Lease, slow bool) bool {
+	if !lease.MayTake(now) {
+		return false
+	}
+	byAnother := lease.Owner() != "" && !lease.Mine()
+	return !slow || !byAnother || lease.StoodFor(now) >= slowTakeAfter
+}
+
+// formerLeasesEnd is when the last lease is over that an owner before the
+// takeover can have granted, also one that has not noticed it.
+func formerLeasesEnd(takenAt time.Time, lease time.Duration) time.Time {
+	return takenAt.Add(ownFor + lease + lease*leaseDriftPercent/100 + leaseMargin)
+}
+
 // commit writes what changed, or renews the lease; one write at once.
 func (e *Entry) commit(now time.Time) {
 	o := &e.owner
@@ -328,7 +349,7 @@
 		Epoch:           o.lease.Epoch(),
 		Assert:          e.assert,
 		Lease:           lease,
-		FormerLeasesEnd: o.takenAt.Add(lease + lease*leaseDriftPercent/100 + leaseMargin),
+		FormerLeasesEnd: formerLeasesEnd(o.takenAt, lease),
 		Note: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -40,7 +40,8 @@
 // Terms are the times of a lease.
 type Terms struct {
 	// OwnFor is how long an owner may act after sending a renewal that was
-	// confirmed; it must be shorter than TakeAfter.
+	// confirmed. Where it is longer than TakeAfter, a new owner reckons with
+	// what the former one may grant meanwhile.
 	OwnFor time.Duration
 	// TakeAfter is how long a row must stand unchanged to be taken over.
 	TakeAfter time.Duration
@@ -80,7 +81,12 @@
 	if !l.known || l.held {
 		return false
 	}
-	return l.version == 0 || l.row.Owner == "" || l.row.Owner == l.self || now.Sub(l.seenAt) >= l.terms.TakeAfter
+	return l.version == 0 || l.row.Owner == "" || l.Mine() || l.StoodFor(now) >= l.terms.TakeAfter
+}
+
+// StoodFor is for how long the row has been seen unchanged.
+func (l *Lease) StoodFor(now time.Time) time.Duration {
+	return now.Sub(l.seenAt)
 }
 
 // Next returns the row to write to take or renew ownership, and the version
@@ -143,6 +149,12 @@
 	return l.row.Owner
 }
 
+// Mine tells whether the row names this process or an earlier one under its
+// name.
+func (l *Lease) Mine() bool {
+	return l.row.Owner == l.self
+}
+
 // Version returns the row's version as last known.
 func (l *Lease) Version() uint64 {
 	return l.version
