--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -41,6 +41,8 @@
 	loading   bool
 	takenAt   time.Time
 	lastWrite time.Time
+	// nextLearnt is when what the cell learnt is written next.
+	nextLearnt time.Time
 	// leaving is set once the process is to end.
 	leaving bool
 }
@@ -175,6 +177,7 @@
 			Value: storer.EncodeCBOR(r.Progress),
 		})
 	}
+	w.change.Puts = append(w.change.Puts, e.learnt(now)...)
 	for _, id := range w.orphans {
 		w.change.Removes = append(w.change.Removes, progressKey(id))
 	}
@@ -355,6 +358,7 @@
 		},
 	})
 	o.cell.SetQueues(e.queues)
+	e.adopt(rows.cell)
 	for id := range e.mirror.jobs {
 		e.activate(now, id)
 	}
--- a/pkg/controller/rows.go
+++ b/pkg/controller/rows.go
@@ -26,8 +26,9 @@
 	// cell's owner writes to it.
 	cellTable = "bilberrywalk-cells"
 	cellPart  = "cell-1"
-	// leaseName and progressPrefix name the rows of a cell.
+	// leaseName, learntName and progressPrefix name the rows of a cell.
 	leaseName      = "lease"
+	learntName     = "learnt"
 	progressPrefix = "progress/"
 	// cancelSuffix marks the row that cancels a job. Ids hold no slash.
 	cancelSuffix = "/cancel"
@@ -82,6 +83,14 @@
 	}
 }
 
+func learntKey() storer.Key {
+	return storer.Key{
+		Table: cellTable,
+		Part:  cellPart,
+		Name:  learntName,
+	}
+}
+
 func progressKey(id string) storer.Key {
 	return storer.Key{
 		Table: cellTable,
@@ -104,6 +113,12 @@
 	return l, errors.Wrap(err, "decoding the cell's lease")
 }
 
+func decodeLearnt(row storer.PartedRow) (scheduler.Learnt, error) {
+	var l scheduler.Learnt
+	err := cbor.Unmarshal(row.Value, &l)
+	return l, errors.Wrap(err, "decoding what the cell learnt")
+}
+
 func decodeSpec(row storer.PartedRow) (scheduler.Spec, error) {
 	var s scheduler.Spec
 	err := cbor.Unmarshal(row.Value, &s)
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// Learnt returns what the next owner need not learn anew.
+func (c *Cell) Learnt() Learnt {
+	return c.interference.learnt()
+}
+
+// Adopt takes what a former owner learnt.
+func (c *Cell) Adopt(l Learnt) {
+	c.interference.adopt(l)
+}
+
 // Knows tells whether a job is live here.
 func (c *Cell) Knows(id string) bool {
 	return c.jobs[id] != nil
--- a/pkg/scheduler/interference_test.go
+++ b/pkg/scheduler/interference_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -40,6 +41,30 @@
 	assert.Assert(t, n.bears(map[string]int{}, mix{}, "heavy", 0.2), "nothing serves there")
 }
 
+func TestTheNextOwnerKnowsWhatWasLearnt(t *testing.T) {
+	before := taught(400)
+	data, err := cbor.Marshal(before.learnt())
+	assert.NilError(t, err)
+	var l Learnt
+	assert.NilError(t, cbor.Unmarshal(data, &l))
+	after := newInterference()
+	after.adopt(l)
+	for _, image := range []string{"heavy", "light", "new"} {
+		assert.Equal(t, after.press("feed", image), before.press("feed", image), image)
+	}
+	t.Run("and learns on", func(t *testing.T) {
+		after.observe("feed", mix{"new": 0.2}, 0)
+		assert.Assert(t, after.press("feed", "new") > priorPress)
+		assert.Equal(t, before.press("feed", "new"), priorPress)
+	})
+	t.Run("but takes no parts that don't belong together", func(t *testing.T) {
+		l.Images[0].Weights = l.Images[0].Weights[1:]
+		broken := newInterference()
+		broken.adopt(l)
+		assert.Equal(t, len(broken.models), 0)
+	})
+}
+
 func TestUnknownImagesAreTakenToPress(t *testing.T) {
 	n := newInterference()
 	assert.Equal(t, n.press("feed", "new"), priorPress)
