Report that a link was stopped, whichever end notices first

cause: TestQuietLinkLives failed 9 times in 1,500 runs: both ends stop at one deadline, and the one whose peer closed the connection first reported the end of the stream in place of the deadline. change: Run reports the end of its context if that is what ended it. before / after: go test ./pkg/linker -run TestQuietLinkLives -count=3000, 0 failed.

--- a/pkg/linker/link.go
+++ b/pkg/linker/link.go
@@ -142,15 +142,20 @@
 func (l *Link) Run(ctx context.Context, receive func(framer.Frame)) error {
 	defer close(l.done)
 	heard := make(chan framer.Frame)
-	group, ctx := errgroup.WithContext(ctx)
+	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return l.readAll(ctx, heard, receive)
+		return l.readAll(groupCtx, heard, receive)
 	})
 	group.Go(func() error {
 		defer l.conn.conn.Close()
-		return l.writeAll(ctx, heard)
+		return l.writeAll(groupCtx, heard)
 	})
-	return group.Wait()
+	err := group.Wait()
+	if ctx.Err() != nil {
+		// A peer that was told to stop too may close the connection first.
+		return ctx.Err()
+	}
+	return err
 }
 
 func (l *Link) readAll(ctx context.Context, heard chan<- framer.Frame, receive func(framer.Frame)) error {
