Set runners aside on which runs stand still, and place on slow ones last

cause: while a worker hangs, its runs are listed as if they worked, so jobs kept being placed there; a list check has ten tasks, so one such runner of eleven held up every other job for as long as it lasted. A slow runner attracted tasks and taught that filling tasks press. A burst of failures doubled a runner's time aside once for each failure, up to 60 s, and a runner with a task that lasts was not tried again at all. change: listings are told apart, the progress of runs is watched (not of those that last or are held back, nor across gaps), a runner without any progress is set aside and its runs start elsewhere; the work done against estimates tells slow ones, which come last; one burst of failures counts once; only tasks that end count when a runner is tried again; one figure teaches no more than a miss of 1.5.

--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -116,8 +116,8 @@
 	Runner RunnerInfo `cbor:"runner"`
 	// ClockMillis is the runner's clock, read before the report was sent.
 	ClockMillis int64 `cbor:"clock-millis"`
-	// Fresh is set once the runner answered the agent, and AgeMillis is how long
-	// ago it last did.
+	// Fresh is set once the runner listed its runs, and AgeMillis is how long ago
+	// it last did.
 	Fresh     bool  `cbor:"fresh,omitempty"`
 	AgeMillis int64 `cbor:"age-millis,omitempty"`
 	// Started lists runs that the runner took.
--- a/pkg/holder/core.go
+++ b/pkg/holder/core.go
@@ -74,8 +74,6 @@
 	sequence int64
 	// clockMillis is the runner's clock as last read.
 	clockMillis int64
-	// answeredAt is when this life of the runner last answered.
-	answeredAt time.Time
 	// listedAt is when this life of the runner last listed its runs.
 	listedAt time.Time
 
@@ -176,7 +174,6 @@
 	}
 	c.Counts.Lives++
 	c.clockMillis = 0
-	c.answeredAt = time.Time{}
 	c.listedAt = time.Time{}
 	c.endsSeen = 0
 	c.endsTold = 0
@@ -287,12 +284,12 @@
 		Epoch:       c.epoch,
 		Runner:      c.runner,
 		ClockMillis: c.clockMillis,
-		Fresh:       !c.answeredAt.IsZero(),
+		Fresh:       !c.listedAt.IsZero(),
 		Running:     slices.Clone(c.running),
 		Ended:       slices.Clone(c.ended),
 	}
 	if r.Fresh {
-		r.AgeMillis = now.Sub(c.answeredAt).Milliseconds()
+		r.AgeMillis = now.Sub(c.listedAt).Milliseconds()
 	}
 	for _, ref := range slices.SortedFunc(maps.Keys(c.orders), compareRefs) {
 		switch c.orders[ref].phase {
--- a/pkg/holder/listing.go
+++ b/pkg/holder/listing.go
@@ -70,7 +70,7 @@
 		return
 	}
 	c.listedAt = now
-	c.readClock(now, l.ClockMillis)
+	c.readClock(l.ClockMillis)
 	c.endsTold = max(c.endsTold, call.EndsSeen)
 	news := c.listed(l)
 	c.settle(now, l)
@@ -124,9 +124,6 @@
 	}
 }
 
-func (c *Core) readClock(now time.Time, clockMillis int64) {
-	if clockMillis > c.clockMillis {
-		c.clockMillis = clockMillis
-		c.answeredAt = now
-	}
+func (c *Core) readClock(clockMillis int64) {
+	c.clockMillis = max(c.clockMillis, clockMillis)
 }
--- a/pkg/holder/orders.go
+++ b/pkg/holder/orders.go
@@ -157,7 +157,7 @@
 		o.retryAt = now.Add(retryPause)
 		return
 	}
-	c.readClock(now, a.ClockMillis)
+	c.readClock(a.ClockMillis)
 	if o.phase != phaseStarting {
 		return
 	}
@@ -187,7 +187,7 @@
 		o.retryAt = now.Add(retryPause)
 		return
 	}
-	c.readClock(now, a.ClockMillis)
+	c.readClock(a.ClockMillis)
 	o.phase = phaseSettling
 	o.settleAfter = c.holds + 1
 	c.nextHold = now
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -220,6 +220,8 @@
 	t.ordered = false
 	t.confirmed = false
 	t.listed = false
+	t.percent = 0
+	t.stillFor = 0
 	t.stopping = false
 	c.mark(t.job)
 }
--- a/pkg/scheduler/interference.go
+++ b/pkg/scheduler/interference.go
@@ -17,6 +17,8 @@
 	// logarithm of a measured tail latency varies by itself.
 	priorSpread = 3.0
 	noise       = 0.3
+	// mostMiss bounds by how much one figure may be off to teach.
+	mostMiss = 1.5
 	// forgetting makes what was learnt long ago count for less.
 	forgetting = 0.998
 	// learnInterval is the time that a runner's figures cover; those that come
@@ -131,7 +133,9 @@
 		expected += m.weights[i] * x[i]
 		total += gain[i] * x[i]
 	}
-	miss := load - expected
+	// What is far off has causes that the model doesn't know, such as a slow
+	// runner, and teaches no more than a lesser miss.
+	miss := min(mostMiss, max(-mostMiss, load-expected))
 	for i := range x {
 		m.weights[i] += gain[i] / total * miss
 	}
--- a/pkg/scheduler/interference_test.go
+++ b/pkg/scheduler/interference_test.go
@@ -41,6 +41,22 @@
 	assert.Assert(t, n.bears(map[string]int{}, mix{}, "heavy", 0.2), "nothing serves there")
 }
 
+func TestASlowRunnerTeachesLittle(t *testing.T) {
+	n := taught(60)
+	before := n.press("feed", "light")
+	// One runner of six, which holds the image, is slow for two seconds.
+	for i := range 24 {
+		load, fillers := -0.8, mix{}
+		if i%6 == 0 {
+			load += math.Log(6)
+			fillers = mix{"light": 0.2}
+		}
+		n.observe("feed", fillers, load)
+	}
+	const notHeavy = 1.5
+	assert.Assert(t, n.press("feed", "light") < notHeavy, "was %g, is %g", before, n.press("feed", "light"))
+}
+
 func TestTheNextOwnerKnowsWhatWasLearnt(t *testing.T) {
 	before := taught(400)
 	data, err := cbor.Marshal(before.learnt())
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -228,7 +228,7 @@
 		if s.info.Service != service || !s.usable(now) || !c.fits(s, w, t) {
 			continue
 		}
-		have := rate(s, step, t, gang)
+		have := rate(now, s, step, t, gang)
 		if best == nil || have.better(bestScore) {
 			best = s
 			bestScore = have
@@ -293,9 +293,10 @@
 	penaltySuspect   = 2
 	penaltyMixed     = 4
 	penaltyFailed    = 8
+	penaltySlow      = 16
 )
 
-func rate(s *site, step *Step, t *task, gang []*site) score {
+func rate(now time.Time, s *site, step *Step, t *task, gang []*site) score {
 	have := score{
 		room: s.idleMillis(),
 	}
@@ -308,6 +309,9 @@
 	if len(s.failedJobs) > 0 {
 		have.penalty += penaltySuspect
 	}
+	if s.speed.slow(now) {
+		have.penalty += penaltySlow
+	}
 	if step.Fills && len(s.serving) > 0 || step.TargetMillis > 0 && len(s.filling) > 0 {
 		have.penalty += penaltyMixed
 	}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -18,9 +18,7 @@
 		s.clockMillis = r.ClockMillis
 		s.clockAt = now
 	}
-	if r.Fresh {
-		s.freshAt = maxTime(s.freshAt, now.Add(-time.Duration(r.AgeMillis)*time.Millisecond))
-	}
+	listed := s.noteListing(now, r)
 	s.dirty = true
 	for _, ref := range r.Started {
 		c.confirm(s, ref)
@@ -28,7 +26,10 @@
 	for _, status := range r.Running {
 		c.running(s, status)
 	}
-	c.learn(now, s, r.Running)
+	if listed {
+		c.learn(now, s, r.Running)
+		c.watch(now, s, r.Running)
+	}
 	for ref := range s.strays {
 		if !lists(r.Running, ref) {
 			delete(s.strays, ref)
@@ -199,8 +200,9 @@
 
 // learn takes the figures of a runner on which tasks serve. Those of both kinds
 // cover the same half second, so they belong together whatever changes there.
+// On a slow runner they tell of that.
 func (c *Cell) learn(now time.Time, s *site, running []framer.RunStatus) {
-	if len(s.serving) == 0 || now.Sub(s.learntAt) < learnInterval {
+	if len(s.serving) == 0 || now.Sub(s.learntAt) < learnInterval || s.speed.slow(now) {
 		return
 	}
 	s.learntAt = now
--- a/pkg/scheduler/site.go
+++ b/pkg/scheduler/site.go
@@ -12,6 +12,9 @@
 const (
 	// freshFor is how long a runner counts as answering after it did.
 	freshFor = 1500 * time.Millisecond
+	// sameListing is by how much the ages of one listing may differ as reports
+	// of it arrive.
+	sameListing = 30 * time.Millisecond
 	// leaseDrift allows for a runner's clock that is up to 2 % slow, and
 	// leaseMargin for a kill that takes effect late.
 	leaseDrift  = 3
@@ -39,7 +42,7 @@
 	// agent is the address of the agent that reports it, or empty while no
 	// link to that agent is up.
 	agent string
-	// freshAt is when the runner last answered its agent.
+	// freshAt is when the runner last listed its runs.
 	freshAt     time.Time
 	clockMillis int64
 	clockAt     time.Time
@@ -70,6 +73,14 @@
 	endsSeen int64
 	dirty    bool
 
+	// watchedAt is when its runs were last looked at, and stillFor for how long
+	// none of them has made progress.
+	watchedAt time.Time
+	stillFor  time.Duration
+	// speed tells how fast runs make progress.
+	speed speed
+	// still is set while the runs of the runner make no progress.
+	still         bool
 	failedJobs    []string
 	setAside      time.Duration
 	setAsideUntil time.Time
@@ -159,6 +170,18 @@
 	}
 }
 
+// noteListing takes when the runner listed what a report holds, and tells
+// whether that is news.
+func (s *site) noteListing(now time.Time, r framer.Report) bool {
+	if !r.Fresh {
+		return false
+	}
+	at := now.Add(-time.Duration(r.AgeMillis) * time.Millisecond)
+	news := at.Sub(s.freshAt) > sameListing
+	s.freshAt = maxTime(s.freshAt, at)
+	return news
+}
+
 // noteOrder remembers that the runner was told to start a run.
 func (s *site) noteOrder(now time.Time, ref framer.RunRef) {
 	if _, ok := s.ordered[ref]; ok {
@@ -204,10 +227,21 @@
 	if !s.known || s.agent == "" || s.info.Draining || s.info.Left || now.Sub(s.freshAt) > freshFor {
 		return false
 	}
-	if len(s.failedJobs) < failuresToSetAside {
+	if len(s.failedJobs) < failuresToSetAside && !s.still {
 		return true
 	}
-	return now.After(s.setAsideUntil) && len(s.tasks) == 0
+	return now.After(s.setAsideUntil) && s.passing() == 0
+}
+
+// passing counts the tasks that come to an end by themselves.
+func (s *site) passing() int {
+	n := 0
+	for t := range s.tasks {
+		if !t.spec().LongRunning {
+			n++
+		}
+	}
+	return n
 }
 
 // noteFailure counts a failed run; failures of one job count once. It tells
@@ -216,12 +250,17 @@
 	if !slices.Contains(s.failedJobs, job) {
 		s.failedJobs = append(s.failedJobs, job)
 	}
-	if len(s.failedJobs) < failuresToSetAside {
+	if len(s.failedJobs) < failuresToSetAside || now.Before(s.setAsideUntil) {
 		return false
 	}
+	s.keepAside(now)
+	return true
+}
+
+// keepAside keeps tasks off the runner, longer each time.
+func (s *site) keepAside(now time.Time) {
 	s.setAside = min(longestSetAside, max(firstSetAside, 2*s.setAside))
 	s.setAsideUntil = now.Add(s.setAside)
-	return true
 }
 
 // forgive takes back a failure that turned out to be the job's own.
@@ -231,6 +270,7 @@
 
 func (s *site) noteSuccess() {
 	s.failedJobs = nil
+	s.still = false
 	s.setAside = 0
 }
 
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -62,6 +62,12 @@
 	confirmed bool
 	// listed is set once this life of the runner listed the run.
 	listed bool
+	// percent is how much of its work the run has done, and stillFor for how long
+	// that has not changed.
+	percent  int
+	stillFor time.Duration
+	// watchedRun is the run whose progress was last looked at.
+	watchedRun int
 	// stopping is set while the run is to be stopped.
 	stopping bool
 	// notBefore keeps a task that fails at once from starting too often.
