--- a/pkg/scheduler/progress.go
+++ b/pkg/scheduler/progress.go
@@ -52,11 +52,11 @@
 			t.stillFor = 0
 			s.stillFor = 0
 		}
-		if t.stillFor > t.stillLimit() {
+		if t.stillFor > t.stillRunLimit() {
 			stuck = append(stuck, t)
 		}
 	}
-	if len(stuck) == 0 || s.stillFor < stillLimit(len(stuck)) {
+	if len(stuck) == 0 || s.stillFor < stillRunnerLimit(len(stuck)) {
 		return
 	}
 	s.still = true
@@ -68,8 +68,8 @@
 	}
 }
 
-// stillLimit is how long a runner may stand still by so many runs.
-func stillLimit(runs int) time.Duration {
+// stillRunnerLimit is how long a runner may stand still by so many runs.
+func stillRunnerLimit(runs int) time.Duration {
 	switch runs {
 	case 1:
 		return loneStillAfter
@@ -88,8 +88,13 @@
 	at     time.Time
 }
 
+// left is how much of what was seen still counts.
+func (v *speed) left(now time.Time) float64 {
+	return math.Exp2(-now.Sub(v.at).Seconds() / speedHalfLife.Seconds())
+}
+
 func (v *speed) add(now time.Time, worked, passed float64) {
-	left := math.Exp2(-now.Sub(v.at).Seconds() / speedHalfLife.Seconds())
+	left := v.left(now)
 	v.worked = v.worked*left + worked
 	v.passed = v.passed*left + passed
 	v.at = now
@@ -98,8 +103,7 @@
 // slow tells whether runs take far longer than their estimates. What was seen
 // fades, so that the runner is tried again.
 func (v *speed) slow(now time.Time) bool {
-	left := math.Exp2(-now.Sub(v.at).Seconds() / speedHalfLife.Seconds())
-	return v.passed*left >= leastPassed.Seconds() && v.worked < slowShare*v.passed
+	return v.passed*v.left(now) >= leastPassed.Seconds() && v.worked < slowShare*v.passed
 }
 
 // noteWork takes the progress of a run since it was last looked at. Estimates
@@ -128,8 +132,8 @@
 	return true
 }
 
-// stillLimit is how long the run may show no progress.
-func (t *task) stillLimit() time.Duration {
+// stillRunLimit is how long the run may show no progress.
+func (t *task) stillRunLimit() time.Duration {
 	estimate := time.Duration(t.spec().EstimateMillis) * time.Millisecond
 	return stillAfter + time.Duration(percentStep*float64(estimate))
 }
