Index the runners of a cell, and send syncs only when there is something to say

cause: a tick sorted and walked all runners for each waiting task, also when nothing had been freed; each report walked all runners; each report was answered by a sync.

--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -90,7 +90,9 @@
 	}
 	if o.cell != nil {
 		valid := o.lease.Valid(now)
-		o.cell.Tick(now, valid && !o.leaving)
+		// A placement takes effect with the next write, so while one is pending
+		// it is better made later, when more is known.
+		o.cell.Tick(now, valid && !o.leaving && o.write == nil)
 		e.sweep(now)
 		e.syncAgents(now, valid)
 	}
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -13,6 +13,13 @@
 	// longRunningRestartDelay keeps a long-running task that exits at once from
 	// being restarted in a tight loop.
 	longRunningRestartDelay = 200 * time.Millisecond
+	// placementInterval is the longest time between two placements; without a
+	// change, only the passage of time lets another task start.
+	placementInterval = 50 * time.Millisecond
+	// expiryInterval is the time between two checks for expired leases.
+	expiryInterval = 50 * time.Millisecond
+	// leaseRenewals is how many times a runner's lease is renewed while it lasts.
+	leaseRenewals = 8
 )
 
 // Config holds the settings and dependencies of a cell.
@@ -37,9 +44,16 @@
 	queues  *Queues
 	jobs    map[string]*job
 	runners map[framer.RunnerKey]*runnerState
+	// incarnations finds runners by id and by address, index the runners that
+	// can hold a task.
+	incarnations *incarnations
+	index        *runnerIndex
+	syncs        *syncQueue
 	// agents holds the runner that each agent reports, by the agent's address.
-	agents  map[string]*runnerState
-	changed map[*job]struct{}
+	agents map[string]*runnerState
+	// unplaced lists the jobs with tasks that are neither done nor placed.
+	unplaced []*job
+	changed  map[*job]struct{}
 	// change is the number of the last change to a job row; all changes up to
 	// committed are persisted.
 	change    uint64
@@ -47,6 +61,14 @@
 	// interference is the learned model of how co-located tasks slow one
 	// another.
 	interference *interference
+	// placementDue is set if a job or a runner changed since the last placement,
+	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
+	placementDue    bool
+	placedAt        time.Time
+	expiryCheckedAt time.Time
+	// waiting and finishTimes are scratch space.
+	waiting     []candidate
+	finishTimes []time.Duration
 
 	// Counts are totals since this owner acquired the cell.
 	Counts Counts
@@ -70,14 +92,17 @@
 		cfg.LogEvent = func(string, ...any) {}
 	}
 	return &Cell{
-		cfg:     cfg,
-		queues:  &Queues{},
-		jobs:    map[string]*job{},
-		runners: map[framer.RunnerKey]*runnerState{},
-		agents:  map[string]*runnerState{},
-		changed: map[*job]struct{}{},
-
+		cfg:          cfg,
+		queues:       &Queues{},
+		jobs:         map[string]*job{},
+		runners:      map[framer.RunnerKey]*runnerState{},
+		incarnations: newIncarnations(),
+		index:        newRunnerIndex(),
+		syncs:        &syncQueue{},
+		agents:       map[string]*runnerState{},
+		changed:      map[*job]struct{}{},
 		interference: newInterference(),
+		placementDue: true,
 	}
 }
 
@@ -91,6 +116,7 @@
 func (c *Cell) SetQueues(q *Queues) {
 	if q != nil && q.Version >= c.queues.Version {
 		c.queues = q
+		c.placementDue = true
 	}
 }
 
@@ -117,7 +143,18 @@
 	if spec.Tombstone || c.jobs[spec.ID] != nil {
 		return
 	}
-	c.jobs[spec.ID] = newJob(spec)
+	j := newJob(spec)
+	c.jobs[spec.ID] = j
+	c.addUnplaced(j)
+}
+
+// addUnplaced records that a job has tasks to place.
+func (c *Cell) addUnplaced(j *job) {
+	c.placementDue = true
+	if !j.unplaced {
+		j.unplaced = true
+		c.unplaced = append(c.unplaced, j)
+	}
 }
 
 // Load adds a job with its progress as read from the store after the cell was
@@ -133,6 +170,7 @@
 		j.endedAt = time.UnixMilli(p.EndedAtMillis)
 	}
 	c.jobs[spec.ID] = j
+	c.addUnplaced(j)
 	tasks := j.tasks()
 	if !c.cfg.Assert.Holds(len(tasks) == len(p.Tasks), "progress-fits-job", "job", spec.ID) {
 		return
@@ -158,7 +196,9 @@
 			ID:              row.RunnerID,
 			StartedAtMillis: row.RunnerStartedAtMillis,
 		})
-		s.info.Address = row.Address
+		if row.Address != "" {
+			c.setAddress(s, row.Address)
+		}
 		s.bind(t)
 	}
 }
@@ -169,12 +209,27 @@
 func (c *Cell) runner(key framer.RunnerKey) *runnerState {
 	s := c.runners[key]
 	if s == nil {
-		s = newRunnerState(key, c.cfg.FormerLeasesEnd)
+		s = newRunnerState(key, c.cfg.FormerLeasesEnd, c.index, c.syncs)
 		c.runners[key] = s
+		c.incarnations.add(s)
+		c.index.improved(s)
 	}
 	return s
 }
 
+// removeRunner drops a runner that has no tasks.
+func (c *Cell) removeRunner(s *runnerState) {
+	delete(c.runners, s.key)
+	c.incarnations.remove(s)
+	c.index.remove(s)
+}
+
+func (c *Cell) setAddress(s *runnerState, address string) {
+	before := s.info.Address
+	s.info.Address = address
+	c.incarnations.moved(s, before)
+}
+
 // Cancel applies a committed cancellation. It does nothing if the job is
 // missing or in a final state.
 func (c *Cell) Cancel(now time.Time, id string) {
@@ -209,7 +264,7 @@
 		return
 	}
 	t.stopping = true
-	t.runner.dirty = true
+	t.runner.needsSync()
 }
 
 // markChanged records that a job's row must be written.
@@ -226,9 +281,10 @@
 
 // release removes a task from its runner once its run has provably ended.
 func (c *Cell) release(t *task) {
-	t.runner.dirty = true
+	t.runner.needsSync()
 	t.runner.release(t)
 	t.job.placed--
+	c.addUnplaced(t.job)
 	t.startSent = false
 	t.confirmed = false
 	t.listed = false
@@ -253,17 +309,29 @@
 // Tick releases the runs of runners whose leases have expired and, if mayPlace
 // is true, places waiting tasks.
 func (c *Cell) Tick(now time.Time, mayPlace bool) {
-	for key, s := range c.runners {
-		if len(s.tasks) > 0 && now.After(s.leaseEnd) {
+	if now.Sub(c.expiryCheckedAt) >= expiryInterval {
+		c.expiryCheckedAt = now
+		c.expireLeases(now)
+	}
+	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
+		c.placementDue = false
+		c.placedAt = now
+		c.place(now)
+	}
+}
+
+func (c *Cell) expireLeases(now time.Time) {
+	for _, s := range c.runners {
+		if !now.After(s.leaseEnd) {
+			continue
+		}
+		if len(s.tasks) > 0 {
 			c.loseRuns(s, "lease expired")
 		}
-		if len(s.tasks) == 0 && s.agent == "" && now.After(s.leaseEnd) {
-			delete(c.runners, key)
+		if s.agent == "" {
+			c.removeRunner(s)
 		}
 	}
-	if mayPlace {
-		c.place(now)
-	}
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -72,7 +72,7 @@
 		for _, r := range row.runs {
 			if r.task.runner != nil && r.task.run == r.run {
 				r.task.committedRun = r.run
-				r.task.runner.dirty = true
+				r.task.runner.needsSync()
 			}
 		}
 		j := c.jobs[row.ID]
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -190,21 +190,23 @@
 	return id + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
 
-// parseTaskName parses a name that taskName returned.
+// parseTaskName parses a name that taskName returned. The id itself may contain
+// dots.
 func parseTaskName(name string) (id string, occurrence, step, index int, ok bool) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return "", 0, 0, 0, false
-	}
 	numbers := [3]int{}
-	for i, part := range parts[1:] {
-		n, err := strconv.Atoi(part)
+	for i := len(numbers) - 1; i >= 0; i-- {
+		dot := strings.LastIndexByte(name, '.')
+		if dot < 0 {
+			return "", 0, 0, 0, false
+		}
+		n, err := strconv.Atoi(name[dot+1:])
 		if err != nil || n < 0 {
 			return "", 0, 0, 0, false
 		}
 		numbers[i] = n
+		name = name[:dot]
 	}
-	return parts[0], numbers[0], numbers[1], numbers[2], true
+	return name, numbers[0], numbers[1], numbers[2], true
 }
 
 // maxTasks is the maximum number of tasks of one job.
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -57,24 +56,59 @@
 
 // place assigns waiting tasks to runners.
 func (c *Cell) place(now time.Time) {
-	for _, w := range c.candidates(now) {
-		step := &w.job.spec.Steps[w.step]
-		if step.Gang {
+	c.index.unblock(now)
+	c.index.refresh()
+	c.collectWaiting(now)
+	for i := range c.waiting {
+		w := &c.waiting[i]
+		if w.job.spec.Steps[w.step].Gang {
 			c.placeGang(now, w)
+		} else {
+			c.placeStep(now, w)
+		}
+	}
+}
+
+// placeStep places as many waiting tasks of a step as possible.
+func (c *Cell) placeStep(now time.Time, w *candidate) {
+	for _, t := range w.occurrence.steps[w.step] {
+		if !t.pending(now) {
 			continue
 		}
-		for _, t := range w.occurrence.steps[w.step] {
-			if !t.pending(now) {
-				continue
-			}
-			s := c.chooseRunner(now, w, t, nil)
-			if s == nil {
-				break
-			}
-			c.start(now, s, t)
-			w.starved = w.starved && w.job.placed < minRunning
+		s := c.chooseRunner(now, w, t, nil)
+		if s == nil {
+			c.recordFullRunners(w)
+			return
 		}
+		c.start(now, s, t)
+		w.starved = w.starved && w.job.placed < minRunning
+	}
+}
+
+// fullRunners records that no runner could hold a step's tasks. Only those that
+// improved after change may hold them now, as long as queues is in force.
+type fullRunners struct {
+	change uint64
+	queues *Queues
+}
+
+func (c *Cell) recordFullRunners(w *candidate) {
+	c.index.refresh()
+	w.occurrence.full[w.step] = fullRunners{
+		change: c.index.change,
+		queues: c.queues,
+	}
+}
+
+// fullUpTo returns the change up to which no runner can hold a step's tasks; 0
+// if that is not known. Whether a best-effort task fits also depends on models
+// that are updated all the time.
+func (c *Cell) fullUpTo(w *candidate) uint64 {
+	full := w.occurrence.full[w.step]
+	if full.queues != c.queues || w.job.spec.Steps[w.step].BestEffort {
+		return 0
 	}
+	return full.change
 }
 
 // pending reports whether a task may be placed now.
@@ -82,41 +116,53 @@
 	return !t.done && t.runner == nil && !now.Before(t.notBefore)
 }
 
-// candidates returns the steps with tasks that may start now, in the order of
-// their placement.
-func (c *Cell) candidates(now time.Time) []candidate {
-	var list []candidate
-	for _, j := range c.jobs {
+// collectWaiting sets c.waiting to the steps with tasks that may start now, in
+// the order of their placement.
+func (c *Cell) collectWaiting(now time.Time) {
+	clear(c.waiting)
+	c.waiting = c.waiting[:0]
+	unplaced := c.unplaced[:0]
+	for _, j := range c.unplaced {
 		if j.state.Final() || j.unfinished == j.placed {
+			j.unplaced = false
 			continue
 		}
+		unplaced = append(unplaced, j)
 		if j.placed == 0 && j.idleSince.IsZero() {
 			j.idleSince = now
 		}
 		for _, r := range j.occurrences {
 			for number := range r.steps {
-				if r.unfinished[number] == 0 || !r.ready(now, j.spec.Steps, number) {
-					continue
+				if r.unfinished[number] > 0 && r.ready(now, j.spec.Steps, number) && anyPending(now, r.steps[number]) {
+					c.waiting = append(c.waiting, c.candidate(now, j, r, number))
 				}
-				if !slices.ContainsFunc(r.steps[number], func(t *task) bool { return t.pending(now) }) {
-					continue
-				}
-				list = append(list, c.candidate(now, j, r, number))
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.urgency, b.urgency),
-			cmp.Compare(a.remainingWork, b.remainingWork),
-			a.dueBy.Compare(b.dueBy),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occurrence.index, b.occurrence.index),
-			cmp.Compare(a.step, b.step),
-		)
-	})
-	return list
+	clear(c.unplaced[len(unplaced):])
+	c.unplaced = unplaced
+	slices.SortFunc(c.waiting, compareCandidates)
+}
+
+func anyPending(now time.Time, tasks []*task) bool {
+	for _, t := range tasks {
+		if t.pending(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.remainingWork, b.remainingWork),
+		a.dueBy.Compare(b.dueBy),
+		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		cmp.Compare(a.occurrence.index, b.occurrence.index),
+		cmp.Compare(a.step, b.step),
+	)
 }
 
 func (c *Cell) candidate(now time.Time, j *job, r *occurrence, number int) candidate {
@@ -146,7 +192,7 @@
 	for i, s := range j.spec.Steps {
 		w.remainingWork += int64(r.unfinished[i]) * s.Needs.ProcessorMillis * max(1, s.EstimateMillis)
 	}
-	remaining := r.remainingChain(j.spec.Steps)
+	remaining := c.remainingChain(r, j.spec.Steps)
 	if now.Add(remaining).After(w.dueBy) {
 		w.rank = rankLate
 	}
@@ -169,14 +215,8 @@
 // mostlyIdle reports whether less than idlePercent of a service's processors is
 // allocated.
 func (c *Cell) mostlyIdle(service string) bool {
-	allocated, capacity := int64(0), int64(0)
-	for _, s := range c.runners {
-		if s.info.Service == service && s.agent != "" {
-			allocated += s.allocated.ProcessorMillis
-			capacity += s.info.ProcessorMillis
-		}
-	}
-	return 100*allocated < idlePercent*capacity
+	v := c.index.service(service)
+	return 100*v.allocatedMillis < idlePercent*v.capacityMillis
 }
 
 // start assigns a task to a runner under a new run number.
@@ -192,7 +232,7 @@
 }
 
 // placeGang places all tasks of a gang or none.
-func (c *Cell) placeGang(now time.Time, w candidate) {
+func (c *Cell) placeGang(now time.Time, w *candidate) {
 	members := w.occurrence.steps[w.step]
 	run := 0
 	for _, t := range members {
@@ -201,20 +241,26 @@
 		}
 		run = max(run, t.run)
 	}
+	if change := c.fullUpTo(w); change > 0 && change == c.index.change {
+		return
+	}
 	var bound []*runnerState
 	for _, t := range members {
 		s := c.chooseRunner(now, w, t, bound)
 		if s == nil {
-			for i := range bound {
-				bound[i].release(members[i])
-			}
-			return
+			break
 		}
 		s.bind(t)
 		bound = append(bound, s)
 	}
+	for i, s := range bound {
+		s.release(members[i])
+	}
+	if len(bound) < len(members) {
+		c.recordFullRunners(w)
+		return
+	}
 	for i, t := range members {
-		bound[i].release(t)
 		t.run = run
 		t.checkpoint = members[0].checkpoint
 		c.start(now, bound[i], t)
@@ -224,27 +270,83 @@
 // chooseRunner returns the best runner for a task, or nil. gang lists the
 // runners that were chosen for earlier members of the task's gang. A rack-local
 // gang prefers runners with the labels of the first one, which name its rack.
-func (c *Cell) chooseRunner(now time.Time, w candidate, t *task, gang []*runnerState) *runnerState {
-	step := t.spec()
-	service := c.service(w.job)
+func (c *Cell) chooseRunner(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
+	c.index.refresh()
+	service := c.index.service(c.service(w.job))
+	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang {
+		return c.chooseImproved(now, service, change, w, t)
+	}
+	order := &service.byIdle
+	if t.spec().TargetMillis > 0 {
+		// Latency-critical tasks are packed together, which leaves other
+		// runners to best-effort tasks.
+		order = &service.byPacked
+	}
 	var best *runnerState
-	var bestScore score
-	for _, key := range slices.SortedFunc(maps.Keys(c.runners), compareKeys) {
-		s := c.runners[key]
-		if s.info.Service != service || !s.schedulable(now) || !c.fits(s, w, t) {
+	bestPenalty := 0
+	for _, s := range order.runners {
+		if w.tooBusy(s) && order == &service.byIdle {
+			break
+		}
+		if !c.mayPlace(now, s, w, t) {
+			continue
+		}
+		penalty := penaltyOf(now, s, t, gang)
+		if penalty == 0 {
+			return s
+		}
+		if best == nil || penalty < bestPenalty {
+			best = s
+			bestPenalty = penalty
+		}
+	}
+	return best
+}
+
+// chooseImproved is like chooseRunner, for a step whose tasks no runner could
+// hold at a change; only the runners that improved since then are considered.
+func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
+	order := &v.byIdle
+	if t.spec().TargetMillis > 0 {
+		order = &v.byPacked
+	}
+	var best *runnerState
+	bestPenalty := 0
+	for e := v.improved.Front(); e != nil; e = e.Next() {
+		s, ok := e.Value.(*runnerState)
+		if !ok || s.position.improvedAt <= change {
+			break
+		}
+		if !c.mayPlace(now, s, w, t) {
 			continue
 		}
-		rating := rate(now, s, step, t, gang)
-		if best == nil || rating.better(bestScore) {
+		penalty := penaltyOf(now, s, t, nil)
+		if best == nil || penalty < bestPenalty || penalty == bestPenalty && order.compare(s, best) < 0 {
 			best = s
-			bestScore = rating
+			bestPenalty = penalty
 		}
 	}
 	return best
 }
 
+// mayPlace reports whether a task may be placed on a runner now.
+func (c *Cell) mayPlace(now time.Time, s *runnerState, w *candidate, t *task) bool {
+	if !s.schedulable(now) {
+		c.index.block(s)
+		return false
+	}
+	return c.fits(s, w, t)
+}
+
+// tooBusy reports whether a runner has too few idle processors for a
+// best-effort task, which would only slow the others.
+func (w *candidate) tooBusy(s *runnerState) bool {
+	step := &w.job.spec.Steps[w.step]
+	return step.BestEffort && !w.starved && 2*s.idleMillis() < step.Needs.ProcessorMillis
+}
+
 // fits reports whether a task may be placed on a runner.
-func (c *Cell) fits(s *runnerState, w candidate, t *task) bool {
+func (c *Cell) fits(s *runnerState, w *candidate, t *task) bool {
 	step := t.spec()
 	if step.Requires != "" && !slices.Contains(s.info.Labels, step.Requires) {
 		return false
@@ -264,9 +366,7 @@
 	if !step.BestEffort || w.starved {
 		return true
 	}
-	// With few idle processors, a best-effort task only slows the others.
-	return 2*s.idleMillis() >= step.Needs.ProcessorMillis &&
-		c.interference.tolerates(s.latencyCritical, s.bestEffortShares(), step.Image, s.share(step))
+	return !w.tooBusy(s) && c.interference.tolerates(s.latencyCritical, s.bestEffortShares(), step.Image, s.share(step))
 }
 
 // siblings returns the number of tasks of the same step and occurrence on a
@@ -281,20 +381,6 @@
 	return n
 }
 
-// score rates a runner for a task. A lower penalty is better, then more free
-// processors, in thousandths of one.
-type score struct {
-	penalty    int
-	freeMillis int64
-}
-
-func (a score) better(b score) bool {
-	if a.penalty != b.penalty {
-		return a.penalty < b.penalty
-	}
-	return a.freeMillis > b.freeMillis
-}
-
 // The penalties of a runner, from least to most severe.
 const (
 	penaltyOtherRack = 1
@@ -304,34 +390,30 @@
 	penaltySlow      = 16
 )
 
-func rate(now time.Time, s *runnerState, step *Step, t *task, gang []*runnerState) score {
-	rating := score{
-		freeMillis: s.idleMillis(),
-	}
+// penaltyOf returns the penalty of a runner for a task. Of the runners with the
+// lowest one, the first in the order of the index is the best.
+func penaltyOf(now time.Time, s *runnerState, t *task, gang []*runnerState) int {
+	step := t.spec()
+	penalty := 0
 	if step.DataRack != "" && !slices.Contains(s.info.Labels, step.DataRack) {
-		rating.penalty += penaltyOtherRack
+		penalty += penaltyOtherRack
 	}
 	if step.RackLocal && len(gang) > 0 && !slices.Equal(gang[0].info.Labels, s.info.Labels) {
-		rating.penalty += penaltyOtherRack
+		penalty += penaltyOtherRack
 	}
 	if len(s.failedJobs) > 0 {
-		rating.penalty += penaltySuspect
+		penalty += penaltySuspect
 	}
 	if s.speed.slow(now) {
-		rating.penalty += penaltySlow
+		penalty += penaltySlow
 	}
 	if step.BestEffort && len(s.latencyCritical) > 0 || step.TargetMillis > 0 && len(s.bestEffort) > 0 {
-		rating.penalty += penaltyColocated
+		penalty += penaltyColocated
 	}
 	if t.avoids(s.key.ID) {
-		rating.penalty += penaltyFailed
-	}
-	if step.TargetMillis > 0 {
-		// Latency-critical tasks are packed together, which leaves other
-		// runners to best-effort tasks.
-		rating.freeMillis = s.latencyCriticalMillis + rating.freeMillis
+		penalty += penaltyFailed
 	}
-	return rating
+	return penalty
 }
 
 func compareKeys(a, b framer.RunnerKey) int {
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -20,7 +20,9 @@
 		s.clockAt = now
 	}
 	listed := s.recordListing(now, r)
-	s.dirty = true
+	if c.renewalDue(now, s) {
+		s.needsSync()
+	}
 	for _, ref := range r.Started {
 		c.confirm(s, ref)
 	}
@@ -33,7 +35,7 @@
 	}
 	for ref := range s.unexpectedRuns {
 		if !containsRun(r.Running, ref) {
-			delete(s.unexpectedRuns, ref)
+			s.removeUnexpected(ref)
 		}
 	}
 	for _, e := range r.Finished {
@@ -53,31 +55,29 @@
 	s := c.runner(info.Key)
 	previous := c.agents[agent]
 	if previous != nil && previous != s {
-		previous.agent = ""
+		previous.setAgent("")
 	}
-	for key, old := range c.runners {
-		if key.StartedAtMillis >= info.Key.StartedAtMillis {
-			continue
-		}
-		switch {
-		case key.ID == info.Key.ID:
+	draining := info.Draining && !s.info.Draining
+	before := s.info.Address
+	s.setInfo(info)
+	c.incarnations.moved(s, before)
+	for _, old := range c.incarnations.earlier(s) {
+		if old.key.ID == info.Key.ID {
 			c.supersede(now, old, s)
-		case info.Address != "" && old.info.Address == info.Address:
-			// Calls to the former runner carry its id, so none of them takes
-			// effect on this one.
-			c.loseRuns(old, "another runner uses its address")
-			delete(c.runners, key)
+			continue
 		}
+		// Calls to the former runner carry its id, so none of them takes effect
+		// on this one.
+		c.loseRuns(old, "another runner uses its address")
+		c.removeRunner(old)
 	}
 	if !s.reported {
 		// A former owner may have granted it a lease just now.
 		s.leaseEnd = maxTime(s.leaseEnd, now.Add(c.maxLease()))
 		c.cfg.LogEvent("runner registered", "runner", info.Key.ID, "born-millis", info.Key.StartedAtMillis, "agent", agent)
 	}
-	draining := info.Draining && !s.info.Draining
 	s.reported = true
-	s.agent = agent
-	s.info = info
+	s.setAgent(agent)
 	c.agents[agent] = s
 	if info.Left && s.leaseEnd.After(now.Add(leaveMargin)) {
 		s.leaseEnd = now.Add(leaveMargin)
@@ -110,7 +110,7 @@
 	// A delayed call to the earlier incarnation may still reach this one, with
 	// a lease by the earlier incarnation's clock.
 	s.leaseEnd = maxTime(s.leaseEnd, now.Add(maxCallDelay+c.maxLease()))
-	delete(c.runners, old.key)
+	c.removeRunner(old)
 }
 
 // loseRuns releases all tasks of a runner that provably runs none of them.
@@ -137,7 +137,7 @@
 // AgentDisconnected records that the link to an agent is down.
 func (c *Cell) AgentDisconnected(agent string) {
 	if s := c.agents[agent]; s != nil {
-		s.agent = ""
+		s.setAgent("")
 		delete(c.agents, agent)
 	}
 }
@@ -191,7 +191,7 @@
 		if _, known := s.unexpectedRuns[status.RunRef]; known {
 			return
 		}
-		s.unexpectedRuns[status.RunRef] = needs
+		s.addUnexpected(status.RunRef, needs)
 		c.cfg.LogEvent("unexpected run listed", "task", status.Task, "run", status.Run, "runner", s.key.ID)
 		return
 	}
@@ -237,7 +237,7 @@
 
 // runFinished processes a finished run.
 func (c *Cell) runFinished(now time.Time, s *runnerState, e framer.FinishedRun) {
-	delete(s.unexpectedRuns, e.RunRef)
+	s.removeUnexpected(e.RunRef)
 	t := c.currentTask(s, e.RunRef)
 	if t == nil {
 		if e.Reason != framer.FinishNeverStarted {
@@ -296,6 +296,7 @@
 	if t.done {
 		return
 	}
+	c.placementDue = true
 	t.done = true
 	t.job.unfinished--
 	t.occurrence.unfinished[t.step]--
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -77,7 +77,16 @@
 	unacked          []pendingFinish
 	recordedSequence int64
 	ackedSequence    int64
-	dirty            bool
+	// syncs queues the runner while its agent is to be sent a sync; queued and
+	// dirty belong to it. leaseSentAt is when the last lease was granted.
+	syncs       *syncQueue
+	queued      bool
+	dirty       bool
+	leaseSentAt time.Time
+	// index is told of changes to what the runner can hold; position belongs to
+	// it.
+	index    *runnerIndex
+	position indexPosition
 
 	// progressCheckedAt is when the progress of the runs was last checked, and
 	// stalledFor is how long none of them has made progress.
@@ -99,10 +108,12 @@
 	change   uint64
 }
 
-func newRunnerState(key framer.RunnerKey, leaseEnd time.Time) *runnerState {
+func newRunnerState(key framer.RunnerKey, leaseEnd time.Time, index *runnerIndex, syncs *syncQueue) *runnerState {
 	return &runnerState{
 		key:             key,
 		leaseEnd:        leaseEnd,
+		index:           index,
+		syncs:           syncs,
 		tasks:           map[*task]struct{}{},
 		latencyCritical: map[string]int{},
 		bestEffort:      map[string]int{},
@@ -115,6 +126,7 @@
 // bind places a task on the runner and counts its allocation.
 func (s *runnerState) bind(t *task) {
 	step := t.spec()
+	s.index.worsened(s)
 	t.runner = s
 	s.tasks[t] = struct{}{}
 	s.allocated = publisher.Add(s.allocated, step.allocation())
@@ -131,6 +143,7 @@
 // release reverts bind. The run must have provably ended.
 func (s *runnerState) release(t *task) {
 	step := t.spec()
+	s.index.improved(s)
 	t.runner = nil
 	delete(s.tasks, t)
 	s.allocated = publisher.Subtract(s.allocated, step.allocation())
@@ -316,6 +329,53 @@
 	}
 	if n > 0 {
 		s.unacked = s.unacked[n:]
-		s.dirty = true
+		s.needsSync()
 	}
 }
+
+// needsSync records that the runner's agent must be sent a sync.
+func (s *runnerState) needsSync() {
+	s.syncs.add(s)
+}
+
+// addUnexpected records a run that the runner lists but should not have, and
+// the resources that it occupies.
+func (s *runnerState) addUnexpected(ref framer.RunRef, needs publisher.Resources) {
+	s.unexpectedRuns[ref] = needs
+	s.index.worsened(s)
+	s.needsSync()
+}
+
+// removeUnexpected drops an unexpected run that is gone.
+func (s *runnerState) removeUnexpected(ref framer.RunRef) {
+	if _, ok := s.unexpectedRuns[ref]; ok {
+		delete(s.unexpectedRuns, ref)
+		s.index.improved(s)
+	}
+}
+
+// setInfo replaces the runner's description.
+func (s *runnerState) setInfo(info framer.RunnerInfo) {
+	if !sameInfo(s.info, info) {
+		s.index.improved(s)
+	}
+	s.info = info
+}
+
+// setAgent records which agent reports the runner; empty for none.
+func (s *runnerState) setAgent(agent string) {
+	if s.agent == agent {
+		return
+	}
+	s.agent = agent
+	s.index.improved(s)
+	if agent != "" {
+		s.needsSync()
+	}
+}
+
+func sameInfo(a, b framer.RunnerInfo) bool {
+	return a.Address == b.Address && a.Key == b.Key && a.Service == b.Service && a.FailureDomain == b.FailureDomain &&
+		a.ProcessorMillis == b.ProcessorMillis && a.MemoryBytes == b.MemoryBytes && a.Accelerators == b.Accelerators &&
+		a.Draining == b.Draining && a.Left == b.Left && slices.Equal(a.Labels, b.Labels)
+}
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,13 +20,15 @@
 		return sync
 	}
 	s.dirty = false
+	s.leaseSentAt = time.Time{}
 	sync.Runner = s.key
 	sync.AckedSequence = s.ackedSequence
 	if granting && s.clockMillis > 0 {
 		sync.LeaseUntilMillis = s.clockMillis + c.cfg.Lease.Milliseconds()
 		s.leaseEnd = maxTime(s.leaseEnd, s.clockAt.Add(c.maxLease()))
+		s.leaseSentAt = now
 	}
-	for _, t := range s.placed() {
+	for t := range s.tasks {
 		switch {
 		case t.stopping:
 			sync.Stops = append(sync.Stops, t.ref())
@@ -40,7 +42,9 @@
 			t.startSent = true
 			s.recordStartSent(now, t.ref())
 		}
-		sync.Sharing = append(sync.Sharing, c.sharing(s, t)...)
+		if sharing, ok := c.sharing(s, t); ok {
+			sync.Sharing = append(sync.Sharing, sharing)
+		}
 	}
 	for ref := range s.unexpectedRuns {
 		sync.Stops = append(sync.Stops, ref)
@@ -48,23 +52,39 @@
 	for ref := range s.fences {
 		sync.Stops = append(sync.Stops, ref)
 	}
+	slices.SortFunc(sync.Starts, func(a, b framer.RunStart) int { return compareRefs(a.RunRef, b.RunRef) })
+	slices.SortFunc(sync.Stops, compareRefs)
+	slices.SortFunc(sync.Sharing, func(a, b framer.Sharing) int { return compareRefs(a.RunRef, b.RunRef) })
 	return sync
 }
 
+func compareRefs(a, b framer.RunRef) int {
+	return cmp.Or(
+		cmp.Compare(a.Task, b.Task),
+		cmp.Compare(a.Run, b.Run),
+	)
+}
+
+// renewalDue reports whether the runner's lease must be renewed. That is always
+// so if the last sync could not grant it.
+func (c *Cell) renewalDue(now time.Time, s *runnerState) bool {
+	return now.Sub(s.leaseSentAt) >= c.cfg.Lease/leaseRenewals
+}
+
 // maxLease returns how long a lease may last by this process's clock.
 func (c *Cell) maxLease() time.Duration {
 	return c.cfg.Lease + c.cfg.Lease*leaseDriftPercent/100 + leaseMargin
 }
 
-// sharing returns what an agent needs to throttle best-effort runs. It returns
-// nil unless the runner has both kinds of tasks and the task is of one of them.
-func (c *Cell) sharing(s *runnerState, t *task) []framer.Sharing {
+// sharing returns what an agent needs to throttle best-effort runs. ok is false
+// unless the runner has both kinds of tasks and the task is of one of them.
+func (c *Cell) sharing(s *runnerState, t *task) (sharing framer.Sharing, ok bool) {
 	step := t.spec()
 	colocated := len(s.latencyCritical) > 0 && len(s.bestEffort) > 0
 	if !colocated || step.TargetMillis == 0 && !step.BestEffort {
-		return nil
+		return framer.Sharing{}, false
 	}
-	sharing := framer.Sharing{
+	sharing = framer.Sharing{
 		RunRef:       t.ref(),
 		TargetMillis: step.TargetMillis,
 	}
@@ -73,16 +93,10 @@
 			sharing.Interference = max(sharing.Interference, c.interference.coefficient(image, step.Image)*s.share(step))
 		}
 	}
-	return []framer.Sharing{sharing}
+	return sharing, true
 }
 
 // Dirty returns the sorted addresses of the agents with changes to be sent.
 func (c *Cell) Dirty() []string {
-	var list []string
-	for _, agent := range slices.Sorted(maps.Keys(c.agents)) {
-		if c.agents[agent].dirty {
-			list = append(list, agent)
-		}
-	}
-	return list
+	return c.syncs.agents()
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -19,6 +19,8 @@
 	unfinished int
 	// placed counts the tasks that are placed on a runner.
 	placed int
+	// unplaced is set while the job is in the cell's list of that name.
+	unplaced bool
 	// idleSince is since when the job has been waiting with nothing placed; it
 	// is zero while a task is placed.
 	idleSince time.Time
@@ -39,6 +41,8 @@
 	steps [][]*task
 	// unfinished counts the tasks of each step that are not done.
 	unfinished []int
+	// full records for each step that no runner could hold its tasks.
+	full []fullRunners
 }
 
 // task is one task of an occurrence.
@@ -108,7 +112,7 @@
 	j := &job{
 		spec:  spec,
 		state: StateQueued,
-		chain: longestChain(spec.Steps),
+		chain: longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
 	for k := range spec.occurrences() {
 		due := time.UnixMilli(spec.StartAtMillis + int64(k)*spec.IntervalMillis)
@@ -118,6 +122,7 @@
 		r := &occurrence{
 			index: k,
 			dueAt: due,
+			full:  make([]fullRunners, len(spec.Steps)),
 		}
 		for number, step := range spec.Steps {
 			tasks := make([]*task, step.Count)
@@ -139,17 +144,22 @@
 }
 
 // longestChain returns the sum of the estimates along the longest path of
-// steps. An edge to a later step is invalid and ignored.
-func longestChain(steps []Step) time.Duration {
-	finishTimes := make([]time.Duration, len(steps))
+// steps. An edge to a later step is invalid and ignored. unfinished counts the
+// tasks of each step that are not done; steps without any take no time. It may
+// be nil. finishTimes is scratch space with room for a time for each step.
+func longestChain(steps []Step, unfinished []int, finishTimes []time.Duration) time.Duration {
 	longest := time.Duration(0)
-	for i, step := range steps {
+	for i := range steps {
+		step := &steps[i]
+		finishTimes[i] = 0
 		for _, dependency := range step.After {
 			if dependency >= 0 && dependency < i {
 				finishTimes[i] = max(finishTimes[i], finishTimes[dependency])
 			}
 		}
-		finishTimes[i] += time.Duration(step.EstimateMillis) * time.Millisecond
+		if unfinished == nil || unfinished[i] > 0 {
+			finishTimes[i] += time.Duration(step.EstimateMillis) * time.Millisecond
+		}
 		longest = max(longest, finishTimes[i])
 	}
 	return longest
@@ -157,21 +167,11 @@
 
 // remainingChain returns the duration of the longest chain of unfinished steps
 // of an occurrence.
-func (r *occurrence) remainingChain(steps []Step) time.Duration {
-	finishTimes := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i, step := range steps {
-		for _, dependency := range step.After {
-			if dependency >= 0 && dependency < i {
-				finishTimes[i] = max(finishTimes[i], finishTimes[dependency])
-			}
-		}
-		if r.unfinished[i] > 0 {
-			finishTimes[i] += time.Duration(step.EstimateMillis) * time.Millisecond
-		}
-		longest = max(longest, finishTimes[i])
+func (c *Cell) remainingChain(r *occurrence, steps []Step) time.Duration {
+	if len(c.finishTimes) < len(steps) {
+		c.finishTimes = make([]time.Duration, len(steps))
 	}
-	return longest
+	return longestChain(steps, r.unfinished, c.finishTimes)
 }
 
 // ready reports whether a step's tasks may start.
