Place latency-critical tasks where they shut out the fewest best-effort images

cause: on the large deployment latency-critical tasks request 95 % of the processors, so best-effort steps (most of wave-weighting) run beside them or not at all.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -61,6 +61,7 @@
 	// interference is the learned model of how co-located tasks slow one
 	// another.
 	interference *interference
+	rejections   *rejections
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -91,6 +92,7 @@
 	if cfg.LogEvent == nil {
 		cfg.LogEvent = func(string, ...any) {}
 	}
+	models := newInterference()
 	return &Cell{
 		cfg:          cfg,
 		queues:       &Queues{},
@@ -101,7 +103,8 @@
 		syncs:        &syncQueue{},
 		agents:       map[string]*runnerState{},
 		changed:      map[*job]struct{}{},
-		interference: newInterference(),
+		interference: models,
+		rejections:   newRejections(models),
 		placementDue: true,
 	}
 }
--- a/pkg/scheduler/interference.go
+++ b/pkg/scheduler/interference.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// priorInterference is the prior estimate of how much a best-effort task
@@ -39,6 +42,9 @@
 // each latency-critical image.
 type interference struct {
 	models map[string]*model
+	// bestEffortImages lists the best-effort images of all models in the order
+	// of their discovery.
+	bestEffortImages []string
 }
 
 // model is the linear model of one latency-critical image. The first weight is
@@ -85,22 +91,23 @@
 	m.covariance = append(m.covariance, row)
 }
 
-func (m *model) weightIndex(image string) int {
-	i, ok := m.index[image]
-	if !ok {
-		i = len(m.weights)
-		m.index[image] = i
+// addImages adds weights for new best-effort images.
+func (n *interference) addImages(m *model, shares imageShares) {
+	for image := range shares {
+		if _, ok := m.index[image]; ok {
+			continue
+		}
+		m.index[image] = len(m.weights)
 		m.grow(priorInterference)
+		if !slices.Contains(n.bestEffortImages, image) {
+			n.bestEffortImages = append(n.bestEffortImages, image)
+		}
 	}
-	return i
 }
 
 // features returns the regressors of the weights: 1 for the intercept and the
-// share of each best-effort image. It adds weights for new images.
+// share of each best-effort image.
 func (m *model) features(shares imageShares) []float64 {
-	for image := range shares {
-		m.weightIndex(image)
-	}
 	x := make([]float64, len(m.weights))
 	x[0] = 1
 	for image, share := range shares {
@@ -128,6 +135,7 @@
 // logarithm of its ratio to the target.
 func (n *interference) observe(criticalImage string, shares imageShares, load float64) {
 	m := n.model(criticalImage)
+	n.addImages(m, shares)
 	x := m.features(shares)
 	gain := make([]float64, len(x))
 	expected := 0.0
--- a/pkg/scheduler/learned_models.go
+++ b/pkg/scheduler/learned_models.go
@@ -63,6 +63,9 @@
 		}
 		for i, bestEffortImage := range image.BestEffortImages {
 			m.index[bestEffortImage] = i + 1
+			if !slices.Contains(n.bestEffortImages, bestEffortImage) {
+				n.bestEffortImages = append(n.bestEffortImages, bestEffortImage)
+			}
 		}
 		n.models[image.Image] = m
 	}
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -58,6 +58,7 @@
 func (c *Cell) place(now time.Time) {
 	c.index.unblock(now)
 	c.index.refresh()
+	c.rejections.reset()
 	c.collectWaiting(now)
 	for i := range c.waiting {
 		w := &c.waiting[i]
@@ -283,7 +284,7 @@
 		order = &service.byPacked
 	}
 	var best *runnerState
-	bestPenalty := 0
+	var bestRating rating
 	for _, s := range order.runners {
 		if w.tooBusy(s) && order == &service.byIdle {
 			break
@@ -291,13 +292,13 @@
 		if !c.mayPlace(now, s, w, t) {
 			continue
 		}
-		penalty := penaltyOf(now, s, t, gang)
-		if penalty == 0 {
+		r := c.rate(now, s, t, gang)
+		if r == (rating{}) {
 			return s
 		}
-		if best == nil || penalty < bestPenalty {
+		if best == nil || r.compare(bestRating) < 0 {
 			best = s
-			bestPenalty = penalty
+			bestRating = r
 		}
 	}
 	return best
@@ -311,7 +312,7 @@
 		order = &v.byPacked
 	}
 	var best *runnerState
-	bestPenalty := 0
+	var bestRating rating
 	for e := v.improved.Front(); e != nil; e = e.Next() {
 		s, ok := e.Value.(*runnerState)
 		if !ok || s.position.improvedAt <= change {
@@ -320,10 +321,10 @@
 		if !c.mayPlace(now, s, w, t) {
 			continue
 		}
-		penalty := penaltyOf(now, s, t, nil)
-		if best == nil || penalty < bestPenalty || penalty == bestPenalty && order.compare(s, best) < 0 {
+		r := c.rate(now, s, t, nil)
+		if best == nil || cmp.Or(r.compare(bestRating), order.compare(s, best)) < 0 {
 			best = s
-			bestPenalty = penalty
+			bestRating = r
 		}
 	}
 	return best
@@ -390,8 +391,39 @@
 	penaltySlow      = 16
 )
 
-// penaltyOf returns the penalty of a runner for a task. Of the runners with the
-// lowest one, the first in the order of the index is the best.
+// rating rates a runner for a task; zero is best. Of runners with the same
+// rating, the first in the order of the index is the best.
+type rating struct {
+	penalty int
+	// rejections is how many more best-effort images the runner is expected to
+	// reject with the task on it.
+	rejections float64
+	// otherImages counts the latency-critical images that the task would join.
+	otherImages int
+}
+
+func (r rating) compare(other rating) int {
+	return cmp.Or(
+		cmp.Compare(r.penalty, other.penalty),
+		cmp.Compare(r.rejections, other.rejections),
+		cmp.Compare(r.otherImages, other.otherImages),
+	)
+}
+
+func (c *Cell) rate(now time.Time, s *runnerState, t *task, gang []*runnerState) rating {
+	r := rating{
+		penalty: penaltyOf(now, s, t, gang),
+	}
+	if step := t.spec(); step.TargetMillis > 0 {
+		r.rejections = c.rejections.added(step.Image, s.latencyCritical)
+		r.otherImages = len(s.latencyCritical)
+		if s.latencyCritical[step.Image] > 0 {
+			r.otherImages--
+		}
+	}
+	return r
+}
+
 func penaltyOf(now time.Time, s *runnerState, t *task, gang []*runnerState) int {
 	step := t.spec()
 	penalty := 0
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -17,6 +17,7 @@
 // for every task and remembers nothing.
 func placeByScan(c *Cell, now time.Time) {
 	c.index.refresh()
+	c.rejections.reset()
 	c.collectWaiting(now)
 	waiting := slices.Clone(c.waiting)
 	for i, w := range waiting {
@@ -85,18 +86,19 @@
 
 func chooseByScan(c *Cell, now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
 	var best *runnerState
-	bestPenalty, bestMillis := 0, int64(0)
+	bestRating, bestMillis := rating{}, int64(0)
 	for _, key := range slices.SortedFunc(maps.Keys(c.runners), compareKeys) {
 		s := c.runners[key]
 		if s.info.Service != c.service(w.job) || !s.schedulable(now) || !c.fits(s, w, t) {
 			continue
 		}
-		penalty, millis := penaltyOf(now, s, t, gang), s.idleMillis()
+		r, millis := c.rate(now, s, t, gang), s.idleMillis()
 		if t.spec().TargetMillis > 0 {
 			millis += s.latencyCriticalMillis
 		}
-		if best == nil || penalty < bestPenalty || penalty == bestPenalty && millis > bestMillis {
-			best, bestPenalty, bestMillis = s, penalty, millis
+		order := r.compare(bestRating)
+		if best == nil || order < 0 || order == 0 && millis > bestMillis {
+			best, bestRating, bestMillis = s, r, millis
 		}
 	}
 	return best
