Raise speed limits as far as the learned interference allows

cause: best-effort runs got 1,250 of the 2,000 processors that they asked for: after a cut to a quarter a limit rose by 15 % of full speed each half second, which takes longer than most runs last. change: while the latency-critical runs are well below their targets, all limits rise by the share of the way to full speed that the learned interference allows, at least by the step of before.

--- a/pkg/supervisor/throttler.go
+++ b/pkg/supervisor/throttler.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"math"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
@@ -8,8 +9,8 @@
 
 const (
 	fullSpeedPercent = 100
-	// speedStepPercent is the step by which the speed limit of a best-effort run
-	// is raised.
+	// speedStepPercent is the smallest step by which the speed limit of a
+	// best-effort run is raised.
 	speedStepPercent = 15
 	// speedCutDivisor divides the speed limit of a run that interferes too much.
 	speedCutDivisor = 4
@@ -104,8 +105,7 @@
 // decide returns the speed limits to change now. While a latency-critical run
 // exceeds its target, the limits of the runs with at least half of the highest
 // interference are cut; after pauseAllAfter all runs are paused. While all
-// latency-critical runs are well below their targets, all limits are raised step
-// by step.
+// latency-critical runs are well below their targets, all limits are raised.
 func (t *throttler) decide(now time.Time, running []framer.RunStatus) []speedChange {
 	if len(t.speeds) == 0 || !t.measured || now.Before(t.nextAdjustAt) {
 		return nil
@@ -115,13 +115,14 @@
 	for _, r := range running {
 		maxInterference = max(maxInterference, t.currentInterference(r.RunRef))
 	}
+	raise := t.raiseShare(running)
 	var changes []speedChange
 	for _, r := range running {
 		speed, ok := t.speeds[r.RunRef]
 		if !ok {
 			continue
 		}
-		next := t.nextSpeed(speed, t.currentInterference(r.RunRef) >= maxInterference/2)
+		next := t.nextSpeed(speed, raise, t.currentInterference(r.RunRef) >= maxInterference/2)
 		if !gradual {
 			next = 0
 		}
@@ -146,12 +147,28 @@
 	return t.interference[ref] * float64(t.speeds[ref]) / fullSpeedPercent
 }
 
-func (t *throttler) nextSpeed(speed int, interferesMost bool) int {
+// raiseShare returns the share by which all limits may approach full speed: the
+// tail latencies are then expected to stay below raiseBelowShare of their
+// targets, by the learned interference.
+func (t *throttler) raiseShare(running []framer.RunStatus) float64 {
+	added := 0.0
+	for _, r := range running {
+		added += t.interference[r.RunRef] - t.currentInterference(r.RunRef)
+	}
+	room := math.Log(raiseBelowShare / t.worstShare)
+	if added <= room {
+		return 1
+	}
+	return max(0, room/added)
+}
+
+func (t *throttler) nextSpeed(speed int, raise float64, interferesMost bool) int {
 	switch {
 	case t.worstShare > 1 && interferesMost:
 		return speed / speedCutDivisor
 	case t.worstShare < raiseBelowShare:
-		return min(fullSpeedPercent, speed+speedStepPercent)
+		step := int(raise * float64(fullSpeedPercent-speed))
+		return min(fullSpeedPercent, speed+max(speedStepPercent, step))
 	default:
 		return speed
 	}
--- a/pkg/supervisor/throttler_test.go
+++ b/pkg/supervisor/throttler_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -88,10 +89,18 @@
 			assert.Equal(t, speed, 0, ref.Task)
 		}
 	})
-	t.Run("rise again in steps", func(t *testing.T) {
+	t.Run("rise at once as far as the target allows by the learned interference", func(t *testing.T) {
 		h := newThrottlerHarness()
 		h.measureTail(2 * testTarget)
-		assert.DeepEqual(t, h.measureTail(testTarget/4), map[string]int{"heavy": fullSpeedPercent/speedCutDivisor + speedStepPercent})
+		room := math.Log(raiseBelowShare / 0.5)
+		step := int(room / 0.8 * fullSpeedPercent)
+		assert.DeepEqual(t, h.measureTail(testTarget/2), map[string]int{"heavy": fullSpeedPercent/speedCutDivisor + step})
+		assert.DeepEqual(t, h.measureTail(testTarget/4), map[string]int{"heavy": fullSpeedPercent})
+	})
+	t.Run("rise in small steps while little room is left below the target", func(t *testing.T) {
+		h := newThrottlerHarness()
+		h.measureTail(2 * testTarget)
+		assert.DeepEqual(t, h.measureTail(0.74*testTarget), map[string]int{"heavy": fullSpeedPercent/speedCutDivisor + speedStepPercent})
 	})
 	t.Run("change no more often than measurements do", func(t *testing.T) {
 		h := newThrottlerHarness()
