Store learned models in a row for each image

cause: on the large deployment the models of all latency-critical images exceed a row ("learned models not stored: row too large" every 2 s), so each new owner learned them again, and latency-critical tasks were slowed meanwhile. change: a row for each latency-critical image, with half of the covariance matrix in 32 bits; a write once a second carries as many as fit in 16 KB, in turn.

--- a/pkg/controller/learned_models.go
+++ b/pkg/controller/learned_models.go
@@ -1,51 +1,70 @@
 package controller
 
 import (
+	"strings"
 	"time"
 
+	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
 )
 
 const (
-	// modelWriteInterval is the time between two writes of the learned models.
-	modelWriteInterval = 2 * time.Second
-	// maxModelBytes limits the size of the learned-models row. Larger models
-	// are not stored.
-	maxModelBytes = 48 << 10
+	// modelWriteInterval is the time between two writes of learned models.
+	modelWriteInterval = time.Second
+	// modelWriteBytes limits what one write adds for them; each entry reads it.
+	modelWriteBytes = 16 << 10
 )
 
-// modelPuts returns the write of the cell's learned interference models, if
-// one is due. The next owner loads them: if it had to learn the models again,
-// latency-critical tasks would be slowed meanwhile.
+// modelPuts returns the writes of some of the cell's learned interference
+// models, if they are due. The next owner loads them: if it had to learn the
+// models again, latency-critical tasks would be slowed meanwhile.
 func (e *Entry) modelPuts(now time.Time) []storer.Put {
 	o := &e.owner
 	if o.cell == nil || now.Before(o.nextModelWrite) {
 		return nil
 	}
 	o.nextModelWrite = now.Add(modelWriteInterval)
-	value := storer.EncodeCBOR(o.cell.LearnedModels())
-	if len(value) > maxModelBytes {
-		e.log.Warn("learned models not stored: row too large", "bytes", len(value), "limit", maxModelBytes)
-		return nil
+	puts := nextModels(o.cell.LearnedModels(), o.nextModel, modelWriteBytes)
+	o.nextModel += len(puts)
+	return puts
+}
+
+// nextModels returns the rows of the models from number first on, in turn, as
+// many as have at most limit bytes, but at least one.
+func nextModels(models scheduler.LearnedModels, first, limit int) []storer.Put {
+	var puts []storer.Put
+	size := 0
+	for i := range models.Images {
+		image := models.Images[(first+i)%len(models.Images)]
+		value := storer.EncodeCBOR(scheduler.LearnedModels{
+			Images: []scheduler.ImageModel{image},
+		})
+		size += len(value)
+		if len(puts) > 0 && size > limit {
+			break
+		}
+		puts = append(puts, storer.Put{
+			Key:   modelKey(image.Image),
+			Value: value,
+		})
 	}
-	return []storer.Put{{
-		Key:   modelsKey(),
-		Value: value,
-	}}
+	return puts
 }
 
-// loadModels loads the models that the former owner learned into the cell.
+// loadModels loads the models that former owners learned into the cell.
 func (e *Entry) loadModels(rows []storer.PartitionedRow) {
+	loaded := 0
 	for _, row := range rows {
-		if row.Key.Name != modelsName || row.Deleted {
+		if !strings.HasPrefix(row.Key.Name, modelPrefix) || row.Deleted {
 			continue
 		}
 		models, err := decodeModels(row)
 		if err != nil {
-			e.log.Error("learned models row skipped: cannot be decoded", "error", err)
-			return
+			e.log.Error("learned model skipped: cannot be decoded", "error", err)
+			continue
 		}
 		e.owner.cell.LoadModels(models)
-		e.log.Info("learned models loaded", "images", len(models.Images), "version", row.Version)
+		loaded++
 	}
+	e.log.Info("learned models loaded", "images", loaded)
 }
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -44,8 +44,10 @@
 	loading    bool
 	acquiredAt time.Time
 	lastWrite  time.Time
-	// nextModelWrite is when the learned models are written next.
+	// nextModelWrite is when learned models are written next, and nextModel the
+	// number of the first one.
 	nextModelWrite time.Time
+	nextModel      int
 	// leaving is set once the process is shutting down.
 	leaving bool
 }
--- a/pkg/controller/rows.go
+++ b/pkg/controller/rows.go
@@ -27,10 +27,10 @@
 	// learned models; only the cell's owner writes to it.
 	cellTable     = "bilberrywalk-cells"
 	cellPartition = "cell-1"
-	// leaseName, modelsName and progressPrefix are the names of the cell's
-	// rows.
+	// leaseName is the name of the cell's lease row; the prefixes are followed
+	// by the latency-critical image of a learned model and by the id of a job.
 	leaseName      = "lease"
-	modelsName     = "learnt"
+	modelPrefix    = "learned/"
 	progressPrefix = "progress/"
 	// cancelSuffix marks the row that cancels a job. Job ids contain no slash.
 	cancelSuffix = "/cancel"
@@ -86,11 +86,11 @@
 	}
 }
 
-func modelsKey() storer.Key {
+func modelKey(image string) storer.Key {
 	return storer.Key{
 		Table:     cellTable,
 		Partition: cellPartition,
-		Name:      modelsName,
+		Name:      modelPrefix + image,
 	}
 }
 
@@ -119,7 +119,7 @@
 func decodeModels(row storer.PartitionedRow) (scheduler.LearnedModels, error) {
 	var l scheduler.LearnedModels
 	err := cbor.Unmarshal(row.Value, &l)
-	return l, errors.Wrap(err, "decoding the learned models of the cell")
+	return l, errors.Wrapf(err, "decoding the learned model %q", row.Key.Name)
 }
 
 func decodeSpec(row storer.PartitionedRow) (scheduler.Spec, error) {
--- a/pkg/scheduler/learned_models.go
+++ b/pkg/scheduler/learned_models.go
@@ -14,9 +14,11 @@
 type ImageModel struct {
 	Image string `cbor:"image"`
 	// BestEffortImages names the best-effort images of all weights but the first.
-	BestEffortImages []string    `cbor:"fillers"`
-	Weights          []float64   `cbor:"weights"`
-	Covariance       [][]float64 `cbor:"spread"`
+	BestEffortImages []string  `cbor:"fillers"`
+	Weights          []float64 `cbor:"weights"`
+	// Covariance is the lower triangle of the covariance matrix of the weights,
+	// row by row.
+	Covariance []float32 `cbor:"covariance"`
 }
 
 // snapshot returns a copy of all models.
@@ -32,8 +34,10 @@
 		for bestEffortImage, i := range m.index {
 			row.BestEffortImages[i-1] = bestEffortImage
 		}
-		for _, covariance := range m.covariance {
-			row.Covariance = append(row.Covariance, slices.Clone(covariance))
+		for i, covariance := range m.covariance {
+			for _, value := range covariance[:i+1] {
+				row.Covariance = append(row.Covariance, float32(value))
+			}
 		}
 		l.Images = append(l.Images, row)
 	}
@@ -43,14 +47,28 @@
 // consistent reports whether the sizes of the model's fields match.
 func (l *ImageModel) consistent() bool {
 	size := len(l.BestEffortImages) + 1
-	if len(l.Weights) != size || len(l.Covariance) != size {
-		return false
+	return len(l.Weights) == size && len(l.Covariance) == size*(size+1)/2
+}
+
+// matrix returns the whole covariance matrix.
+func (l *ImageModel) matrix() [][]float64 {
+	matrix := make([][]float64, len(l.Weights))
+	for i := range matrix {
+		matrix[i] = make([]float64, len(matrix))
+	}
+	n := 0
+	for i := range matrix {
+		for j := range i + 1 {
+			matrix[i][j] = float64(l.Covariance[n])
+			matrix[j][i] = matrix[i][j]
+			n++
+		}
 	}
-	return !slices.ContainsFunc(l.Covariance, func(row []float64) bool { return len(row) != size })
+	return matrix
 }
 
-// restore replaces models by those of a former owner. Inconsistent models are
-// skipped.
+// restore replaces the models of these images by those of a former owner.
+// Inconsistent models are skipped.
 func (n *interference) restore(l LearnedModels) {
 	for _, image := range l.Images {
 		if !image.consistent() {
@@ -59,7 +77,7 @@
 		m := &model{
 			index:      map[string]int{},
 			weights:    image.Weights,
-			covariance: image.Covariance,
+			covariance: image.matrix(),
 		}
 		for i, bestEffortImage := range image.BestEffortImages {
 			m.index[bestEffortImage] = i + 1
