Let larger entries acquire the cell first

cause: any entry may become the owner, also one with 0.19 of a core and 20 Mbit/s, while a takeover opens a link to each agent and reads all rows. change: entries announce their processors (a new setting, 0 if not known); one with less than half of those of another waits 0.4 s longer before it acquires a cell without an owner or of a silent one.

--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"math"
 	"os"
 	"time"
 
@@ -21,6 +22,10 @@
 	Link string `toml:"link"`
 	// Store is the IP number and port of the platform's store.
 	Store string `toml:"store"`
+	// Processors is the number of processors that the process may use, such as
+	// 0.5; zero if it is not known. Entries with few of them leave the ownership
+	// of the cell to larger ones.
+	Processors float64 `toml:"processors"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `toml:"log-level"`
 	// LongestLease is the maximum duration of a lease that a runner grants.
@@ -70,10 +75,12 @@
 
 func (f *Fleet) check() error {
 	const minDuration, maxDuration = int64(time.Second), int64(time.Hour)
+	const maxProcessors = 1 << 10
 	checks := []error{
 		checkAddress("link", f.Link),
 		checkAddress("store", f.Store),
 		checkLogLevel(f.LogLevel),
+		publisher.CheckRange("processors", int64(math.Ceil(f.Processors)), 0, maxProcessors),
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
 		checkOptionalAddress("callers", f.Callers),
--- a/pkg/controller/agents.go
+++ b/pkg/controller/agents.go
@@ -43,7 +43,7 @@
 		}
 	case framer.RoleEntry:
 		if m.Address != e.cfg.Link {
-			e.peers[m.Address] = struct{}{}
+			e.peers[m.Address] = m.Processors
 			e.relay.SetPeers(slices.Collect(maps.Keys(e.peers)))
 		}
 	}
--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -98,7 +98,8 @@
 	// leaseRead is set once the cell's partition was read from the store.
 	leaseRead bool
 	agents    map[string]*agentLink
-	peers     map[string]struct{}
+	// peers maps the address of each other entry to its processors.
+	peers     map[string]float64
 	nextSweep time.Time
 }
 
@@ -136,7 +137,7 @@
 		},
 		cache:  newJobCache(d.Log),
 		agents: map[string]*agentLink{},
-		peers:  map[string]struct{}{},
+		peers:  map[string]float64{},
 
 		submits: measurer.NewLatency(),
 		cancels: measurer.NewLatency(),
@@ -296,6 +297,7 @@
 		Role:          framer.RoleEntry,
 		Address:       e.cfg.Link,
 		FailureDomain: e.cfg.FailureDomain,
+		Processors:    e.cfg.Processors,
 	}, func(err error) { e.log.Warn("announcement failed", "error", err) })
 }
 
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -22,6 +22,9 @@
 	// owner.
 	acquireAfter     = 1100 * time.Millisecond
 	slowAcquireAfter = 2500 * time.Millisecond
+	// yieldDelay is how much longer an entry waits that has less than half of
+	// the processors of another one, so that the larger one acquires the cell.
+	yieldDelay = 400 * time.Millisecond
 	// renewInterval is the time between two lease renewals of an owner that
 	// has nothing else to write.
 	renewInterval = 350 * time.Millisecond
@@ -105,7 +108,7 @@
 // the entry is leaving or a write is pending.
 func (e *Entry) tryAcquire(now time.Time) {
 	o := &e.owner
-	if o.write != nil || o.leaving || !e.leaseRead || !mayAcquire(now, o.lease, e.relay.Slow()) {
+	if o.write != nil || o.leaving || !e.leaseRead || !mayAcquire(now, o.lease, e.relay.Slow(), e.yieldTime()) {
 		return
 	}
 	e.startWrite(now, &pendingWrite{
@@ -114,13 +117,33 @@
 }
 
 // mayAcquire reports whether the cell may be acquired now. A slow store delays
-// the owner's writes, which is no reason to replace the owner.
-func mayAcquire(now time.Time, lease *leaser.Lease, slow bool) bool {
-	if !lease.MayAcquire(now) {
+// the owner's writes, which is no reason to replace the owner. yield is how much
+// longer the entry waits in favour of others; it does not wait for an earlier
+// incarnation of itself.
+func mayAcquire(now time.Time, lease *leaser.Lease, slow bool, yield time.Duration) bool {
+	unchanged := lease.UnchangedFor(now) - yield
+	switch {
+	case !lease.MayAcquire(now):
 		return false
+	case lease.OwnedBySelf():
+		return true
+	case lease.Owner() == "":
+		return unchanged >= 0
+	case slow:
+		return unchanged >= slowAcquireAfter
+	default:
+		return unchanged >= acquireAfter
+	}
+}
+
+// yieldTime returns how long this entry waits in favour of a larger one.
+func (e *Entry) yieldTime() time.Duration {
+	for _, processors := range e.peers {
+		if 2*e.cfg.Processors < processors {
+			return yieldDelay
+		}
 	}
-	byAnother := lease.Owner() != "" && !lease.OwnedBySelf()
-	return !slow || !byAnother || lease.UnchangedFor(now) >= slowAcquireAfter
+	return 0
 }
 
 // formerLeasesEnd returns when the last lease expires that a former owner can
--- a/pkg/storer/members.go
+++ b/pkg/storer/members.go
@@ -22,6 +22,9 @@
 	Role          framer.Role `cbor:"role"`
 	Address       string      `cbor:"address"`
 	FailureDomain string      `cbor:"failure-domain"`
+	// Processors is the number of processors of an entry; zero if it is not
+	// known.
+	Processors float64 `cbor:"processors,omitempty"`
 }
 
 // MemberPut returns the write that announces a process.
