Judge a job's lateness by when the owner first read it

cause: objective and rank of a job were computed from the time of day at the entry that accepted it. An entry that started later takes jobs for younger than they are, which puts them with those on time. shown by: TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate (red before: a job accepted by an instance an hour behind was rankVeryLate).

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -269,7 +269,7 @@
 
 func (e *Entry) jobsChanged(now time.Time, rows []storer.PartitionedRow) {
 	for _, row := range rows {
-		if id := e.cache.applyJob(row); id != "" {
+		if id := e.cache.applyJob(now, row); id != "" {
 			e.activate(now, id)
 		}
 	}
--- a/pkg/controller/job_cache.go
+++ b/pkg/controller/job_cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -13,7 +14,9 @@
 type jobView struct {
 	spec scheduler.Spec
 	// hasSpec is set once the job's own row was read, until it is deleted.
-	hasSpec   bool
+	hasSpec bool
+	// seenAt is when the job's own row was first read.
+	seenAt    time.Time
 	cancelled bool
 	progress  scheduler.Progress
 	// progressVersion is the version of the progress row; 0 if there is none.
@@ -70,7 +73,7 @@
 
 // applyJob applies a row of the job table. It returns the id of the job if the
 // row adds the job or its cancellation to the cache, "" otherwise.
-func (c *jobCache) applyJob(row storer.PartitionedRow) string {
+func (c *jobCache) applyJob(now time.Time, row storer.PartitionedRow) string {
 	if row.Deleted {
 		c.removeJob(row.Key.Name)
 		return ""
@@ -91,12 +94,15 @@
 		c.log.Error("job row skipped: cannot be decoded", "error", err)
 		return ""
 	}
-	c.addJob(spec)
+	c.addJob(now, spec)
 	return spec.ID
 }
 
-func (c *jobCache) addJob(spec scheduler.Spec) {
+func (c *jobCache) addJob(now time.Time, spec scheduler.Spec) {
 	v := c.view(spec.ID)
+	if !v.hasSpec {
+		v.seenAt = now
+	}
 	v.spec = spec
 	v.hasSpec = true
 }
--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -91,7 +91,7 @@
 	}
 	e.log.Info("job accepted", "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps))
 	e.loop.Post(func(now time.Time) {
-		e.cache.addJob(spec)
+		e.cache.addJob(now, spec)
 		e.activate(now, spec.ID)
 	})
 	return nil
@@ -151,7 +151,7 @@
 func (e *Entry) applyJobRows(rows []storer.PartitionedRow) {
 	e.loop.Post(func(now time.Time) {
 		for _, row := range rows {
-			if id := e.cache.applyJob(row); id != "" {
+			if id := e.cache.applyJob(now, row); id != "" {
 				e.activate(now, id)
 			}
 		}
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -76,7 +76,7 @@
 		e.cache.applyCell(row)
 	}
 	for _, row := range rows.jobs {
-		e.cache.applyJob(row)
+		e.cache.applyJob(now, row)
 	}
 	lease := time.Duration(e.cfg.LongestLease)
 	o.cell = scheduler.NewCell(scheduler.Config{
@@ -110,9 +110,9 @@
 	}
 	if !cell.HasJob(id) {
 		if v.progressVersion > 0 {
-			cell.Load(v.spec, v.progress)
+			cell.Load(v.seenAt, v.spec, v.progress)
 		} else {
-			cell.Add(v.spec)
+			cell.Add(v.seenAt, v.spec)
 		}
 	}
 	if v.cancelled {
--- a/pkg/controller/sweeper_test.go
+++ b/pkg/controller/sweeper_test.go
@@ -16,7 +16,7 @@
 // cacheWithFinishedJob returns a cache with one job that finished at start.
 func cacheWithFinishedJob() *jobCache {
 	c := newJobCache(hclog.NewNullLogger())
-	c.addJob(scheduler.Spec{
+	c.addJob(start, scheduler.Spec{
 		ID: "a",
 	})
 	c.setProgress("a", scheduler.Progress{
@@ -45,7 +45,7 @@
 	c := cacheWithFinishedJob()
 	afterRetention := start.Add(retention + time.Second)
 	assert.Equal(t, len(c.orphans(afterRetention, 10)), 0)
-	c.applyJob(storer.PartitionedRow{
+	c.applyJob(start, storer.PartitionedRow{
 		Key:     jobKey("a"),
 		Deleted: true,
 	})
@@ -71,7 +71,7 @@
 
 func TestJobStates(t *testing.T) {
 	c := newJobCache(hclog.NewNullLogger())
-	c.addJob(scheduler.Spec{
+	c.addJob(start, scheduler.Spec{
 		ID:    "a",
 		Queue: "q",
 	})
@@ -83,7 +83,7 @@
 	}, 3)
 	assert.Equal(t, c.jobs["a"].state(), scheduler.StateRunning)
 	assert.Equal(t, c.pending("q"), 0)
-	c.applyJob(storer.PartitionedRow{
+	c.applyJob(start, storer.PartitionedRow{
 		Key:     cancelKey("a"),
 		Version: 4,
 	})
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -389,9 +389,9 @@
 		o.cell.SetQueues(sim.queues)
 		for id, spec := range sim.specs {
 			if p, ok := sim.progress[id]; ok {
-				o.cell.Load(spec, p)
+				o.cell.Load(sim.Now(), spec, p)
 			} else {
-				o.cell.Add(spec)
+				o.cell.Add(sim.Now(), spec)
 			}
 			if _, ok := sim.cancelled[id]; ok {
 				o.cell.Cancel(sim.Now(), id)
@@ -497,7 +497,7 @@
 	}
 	sim.specs[spec.ID] = spec
 	if sim.owner != nil {
-		sim.owner.cell.Add(spec)
+		sim.owner.cell.Add(sim.Now(), spec)
 	}
 	if sim.rnd.IntN(10) == 0 {
 		sim.After(time.Duration(sim.rnd.IntN(3000))*time.Millisecond, func() {
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -140,13 +140,14 @@
 	return c.jobs[id] != nil
 }
 
-// Add adds a job that has been committed and has no progress yet. Tombstones
-// and jobs that are already present are ignored.
-func (c *Cell) Add(spec Spec) {
+// Add adds a job that has been committed and has no progress yet. seenAt is when
+// this process first read it. Tombstones and jobs that are already present are
+// ignored.
+func (c *Cell) Add(seenAt time.Time, spec Spec) {
 	if spec.Tombstone || c.jobs[spec.ID] != nil {
 		return
 	}
-	j := newJob(spec)
+	j := newJob(seenAt, spec)
 	c.jobs[spec.ID] = j
 	c.addUnplaced(j)
 }
@@ -160,13 +161,13 @@
 	}
 }
 
-// Load adds a job with its progress as read from the store after the cell was
-// acquired. A job in a final state without runs is ignored.
-func (c *Cell) Load(spec Spec, p Progress) {
+// Load is like Add, for a job with progress as read from the store after the
+// cell was acquired. A job in a final state without runs is ignored.
+func (c *Cell) Load(seenAt time.Time, spec Spec, p Progress) {
 	if p.State.Final() && len(p.Tasks) == 0 {
 		return
 	}
-	j := newJob(spec)
+	j := newJob(seenAt, spec)
 	j.state = p.State
 	j.begun = p.Begun
 	if p.EndedAtMillis > 0 {
--- a/pkg/scheduler/cell_test.go
+++ b/pkg/scheduler/cell_test.go
@@ -170,7 +170,7 @@
 }
 
 func (h *cellHarness) add(id, queue string, steps ...Step) {
-	h.cell.Add(Spec{
+	h.cell.Add(h.now, Spec{
 		ID:               id,
 		Queue:            queue,
 		Service:          "polls",
@@ -425,7 +425,7 @@
 		FormerLeasesEnd: h.now.Add(testLease),
 	})
 	next.SetQueues(testQueues())
-	next.Load(h.cell.jobs["j"].spec, commit.Rows[0].Progress)
+	next.Load(h.now, h.cell.jobs["j"].spec, commit.Rows[0].Progress)
 	h.cell = next
 	t.Run("starts no new runs", func(t *testing.T) {
 		h.advance(testLease - time.Second)
@@ -437,7 +437,7 @@
 		}
 	})
 	t.Run("does not load a finished job", func(t *testing.T) {
-		next.Load(Spec{
+		next.Load(h.now, Spec{
 			ID:    "old",
 			Steps: []Step{newStep(1, 500)},
 		}, Progress{
@@ -538,3 +538,22 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, begun.Rows[0].Progress.Begun)
 }
+
+// The time of day differs between instances and may jump by seconds. It must not
+// decide which of two jobs is late.
+func TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate(t *testing.T) {
+	h := newCellHarness(t, "x")
+	for _, ahead := range []time.Duration{-time.Hour, 0, time.Hour} {
+		spec := Spec{
+			ID:               fmt.Sprintf("accepted-%s", ahead),
+			Queue:            "checks",
+			Service:          "polls",
+			Steps:            []Step{newStep(1, 500)},
+			AcceptedAtMillis: h.now.Add(ahead).UnixMilli(),
+		}
+		h.cell.Add(h.now, spec)
+		c := h.cell.candidate(h.now, h.cell.jobs[spec.ID], h.cell.jobs[spec.ID].occurrences[0], 0)
+		assert.Equal(t, c.rank, rankOnTime, "%s", ahead)
+		assert.Equal(t, c.dueBy, h.now.Add(1750*time.Millisecond), "%s", ahead)
+	}
+}
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -175,7 +175,7 @@
 
 		starved: c.starved(now, j),
 	}
-	from := time.UnixMilli(j.spec.AcceptedAtMillis)
+	from := j.seenAt
 	if r.dueAt.After(from) {
 		from = r.dueAt
 	}
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -214,7 +214,7 @@
 		p.vary(&step)
 		spec.Steps = append(spec.Steps, step)
 	}
-	p.both(func(c *Cell) { c.Add(spec) })
+	p.both(func(c *Cell) { c.Add(p.now, spec) })
 }
 
 // vary gives a step one of the properties that placement looks at.
--- a/pkg/scheduler/scale_benchmark_test.go
+++ b/pkg/scheduler/scale_benchmark_test.go
@@ -111,7 +111,7 @@
 		AcceptedAtMillis: f.now.UnixMilli(),
 	}
 	f.specs = append(f.specs, spec)
-	f.cell.Add(spec)
+	f.cell.Add(f.now, spec)
 }
 
 func (f *fleet) commit() {
@@ -238,7 +238,7 @@
 		for b.Loop() {
 			f.cell = f.newCell()
 			for _, spec := range f.specs {
-				f.cell.Load(spec, rows[spec.ID])
+				f.cell.Load(f.now, spec, rows[spec.ID])
 			}
 			for i := range f.reports {
 				f.report(i)
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -10,7 +10,10 @@
 
 // job is the scheduling state of a job.
 type job struct {
-	spec        Spec
+	spec Spec
+	// seenAt is when this process first read the job, by its own clock. Times of
+	// day of other processes may differ by seconds.
+	seenAt      time.Time
 	state       State
 	begun       bool
 	cancelled   bool
@@ -108,11 +111,12 @@
 	)
 }
 
-func newJob(spec Spec) *job {
+func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
-		spec:  spec,
-		state: StateQueued,
-		chain: longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
+		spec:   spec,
+		seenAt: seenAt,
+		state:  StateQueued,
+		chain:  longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
 	for k := range spec.occurrences() {
 		due := time.UnixMilli(spec.StartAtMillis + int64(k)*spec.IntervalMillis)
