--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -31,8 +31,10 @@
 	minQuarantine       = 4 * time.Second
 	maxQuarantine       = time.Minute
 	// latencyCriticalLoadPercent is the share of its requested processors that
-	// a latency-critical task is assumed to use, in percent.
-	latencyCriticalLoadPercent = 55
+	// a latency-critical task is assumed to use, in percent. It is low, since a
+	// task that uses more only slows the best-effort tasks beside it, while
+	// processors that are taken for busy stay idle.
+	latencyCriticalLoadPercent = 40
 )
 
 // runnerState is the state of one incarnation of a runner, and the tasks placed
