--- /dev/null
+++ b/pkg/scheduler/choosing.go
@@ -0,0 +1,203 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+// reservePercent is the percentage of a runner's processors that only the most
+// urgent queue may use.
+const reservePercent = 6
+
+// chooseRunner returns the best runner for a task, or nil. gang lists the
+// runners that were chosen for earlier members of the task's gang. A rack-local
+// gang prefers runners with the labels of the first one, which name its rack.
+func (c *Cell) chooseRunner(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
+	c.index.refresh()
+	service := c.index.service(c.service(w.job))
+	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang {
+		return c.chooseImproved(now, service, change, w, t)
+	}
+	order := service.orderFor(t.spec())
+	var best *runnerState
+	var bestRating rating
+	for _, s := range order.runners {
+		if w.tooBusy(s) && order == &service.byIdle {
+			break
+		}
+		if !c.mayPlace(now, s, w, t) {
+			continue
+		}
+		r := c.rate(now, s, t, gang)
+		if r == (rating{}) {
+			return s
+		}
+		if best == nil || r.compare(bestRating) < 0 {
+			best = s
+			bestRating = r
+		}
+	}
+	return best
+}
+
+// chooseImproved is like chooseRunner, for a step whose tasks no runner could
+// hold at a change; only the runners that improved since then are considered.
+func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
+	order := v.orderFor(t.spec())
+	var best *runnerState
+	var bestRating rating
+	for e := v.improved.Front(); e != nil; e = e.Next() {
+		s, ok := e.Value.(*runnerState)
+		if !ok || s.position.improvedAt <= change {
+			break
+		}
+		if !c.mayPlace(now, s, w, t) {
+			continue
+		}
+		r := c.rate(now, s, t, nil)
+		if best == nil || cmp.Or(r.compare(bestRating), order.compare(s, best)) < 0 {
+			best = s
+			bestRating = r
+		}
+	}
+	return best
+}
+
+// orderFor returns the order in which a step's tasks take runners with the same
+// rating. Latency-critical tasks are packed together, which leaves other runners
+// to best-effort tasks.
+func (v *serviceIndex) orderFor(step *Step) *ranking {
+	if step.TargetMillis > 0 {
+		return &v.byPacked
+	}
+	return &v.byIdle
+}
+
+// mayPlace reports whether a task may be placed on a runner now.
+func (c *Cell) mayPlace(now time.Time, s *runnerState, w *candidate, t *task) bool {
+	if !s.schedulable(now) {
+		c.index.block(s)
+		return false
+	}
+	return c.fits(s, w, t)
+}
+
+// tooBusy reports whether a runner has too few idle processors for a
+// best-effort task, which would only slow the others.
+func (w *candidate) tooBusy(s *runnerState) bool {
+	step := &w.job.spec.Steps[w.step]
+	return step.BestEffort && !w.starved && 2*s.idleMillis() < step.Needs.ProcessorMillis
+}
+
+// fits reports whether a task may be placed on a runner.
+func (c *Cell) fits(s *runnerState, w *candidate, t *task) bool {
+	step := t.spec()
+	if step.Requires != "" && !slices.Contains(s.info.Labels, step.Requires) {
+		return false
+	}
+	if step.AntiAffinity > 0 && siblings(s, t) >= step.AntiAffinity {
+		return false
+	}
+	needs := step.allocation()
+	if w.urgency > 0 && !step.BestEffort {
+		needs = publisher.Add(needs, publisher.Resources{
+			ProcessorMillis: s.info.ProcessorMillis * reservePercent / 100,
+		})
+	}
+	if !publisher.Within(needs, s.free()) {
+		return false
+	}
+	if !step.BestEffort || w.starved {
+		return true
+	}
+	return !w.tooBusy(s) && c.interference.tolerates(s.latencyCritical, s.bestEffortShares(), step.Image, s.share(step))
+}
+
+// siblings returns the number of tasks of the same step and occurrence on a
+// runner.
+func siblings(s *runnerState, t *task) int {
+	n := 0
+	for other := range s.tasks {
+		if other.occurrence == t.occurrence && other.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+// The penalties of a runner, from least to most severe.
+const (
+	penaltyOtherRack = 1
+	penaltySuspect   = 2
+	penaltyColocated = 4
+	penaltyFailed    = 8
+	penaltySlow      = 16
+)
+
+// rating rates a runner for a task; zero is best. Of runners with the same
+// rating, the first in the order of the index is the best.
+type rating struct {
+	penalty int
+	// rejections is how many more best-effort images the runner is expected to
+	// reject with the task on it.
+	rejections float64
+	// otherImages counts the latency-critical images that the task would join.
+	otherImages int
+}
+
+func (r rating) compare(other rating) int {
+	return cmp.Or(
+		cmp.Compare(r.penalty, other.penalty),
+		cmp.Compare(r.rejections, other.rejections),
+		cmp.Compare(r.otherImages, other.otherImages),
+	)
+}
+
+func (c *Cell) rate(now time.Time, s *runnerState, t *task, gang []*runnerState) rating {
+	r := rating{
+		penalty: penaltyOf(now, s, t, gang),
+	}
+	if step := t.spec(); step.TargetMillis > 0 {
+		r.rejections = c.rejections.added(step.Image, s.latencyCritical)
+		r.otherImages = len(s.latencyCritical)
+		if s.latencyCritical[step.Image] > 0 {
+			r.otherImages--
+		}
+	}
+	return r
+}
+
+func penaltyOf(now time.Time, s *runnerState, t *task, gang []*runnerState) int {
+	step := t.spec()
+	penalty := 0
+	if step.DataRack != "" && !slices.Contains(s.info.Labels, step.DataRack) {
+		penalty += penaltyOtherRack
+	}
+	if step.RackLocal && len(gang) > 0 && !slices.Equal(gang[0].info.Labels, s.info.Labels) {
+		penalty += penaltyOtherRack
+	}
+	if len(s.failedJobs) > 0 {
+		penalty += penaltySuspect
+	}
+	if s.speed.slow(now) {
+		penalty += penaltySlow
+	}
+	if step.BestEffort && len(s.latencyCritical) > 0 || step.TargetMillis > 0 && len(s.bestEffort) > 0 {
+		penalty += penaltyColocated
+	}
+	if t.avoids(s.key.ID) {
+		penalty += penaltyFailed
+	}
+	return penalty
+}
+
+func compareKeys(a, b framer.RunnerKey) int {
+	return cmp.Or(
+		cmp.Compare(a.ID, b.ID),
+		cmp.Compare(a.StartedAtMillis, b.StartedAtMillis),
+	)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -64,17 +64,24 @@
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
 guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].change <= committed//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
-guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/len\(s.tasks\) > 0 \&\& now.After\(s.leaseEnd\)/s.agent == ""/' pkg/scheduler TestLostRunner
+guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/if !now.After\(s.leaseEnd\) \{/if s.agent != "" {/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
 guard prediction-error-is-limited pkg/scheduler/interference.go 's/maxResidual = .*/maxResidual = 50/' pkg/scheduler TestOutliersChangeModelLittle
 guard stalled-runners-are-quarantined pkg/scheduler/progress.go 's/s.stalled = true/s.stalled = false/' pkg/scheduler TestStalledRunnerIsQuarantined
 guard observation-gaps-are-not-stalls pkg/scheduler/progress.go 's/elapsed > maxListingGap/false/' pkg/scheduler TestStalledRunnerIsQuarantined
-guard slow-runners-come-last pkg/scheduler/placing.go 's/penaltySlow += 16/penaltySlow = 0/; s/penaltySlow      = 16/penaltySlow      = 0/' pkg/scheduler TestSlowRunnerIsChosenLast
+guard slow-runners-come-last pkg/scheduler/choosing.go 's/penaltySlow += 16/penaltySlow = 0/; s/penaltySlow      = 16/penaltySlow      = 0/' pkg/scheduler TestSlowRunnerIsChosenLast
 guard one-burst-counts-once pkg/scheduler/runner_state.go 's/if now.Before\(s.quarantinedUntil\)/if false/' pkg/scheduler TestBurstOfFailuresQuarantinesOnce
 guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) == 0/len(s.tasks) == 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
-guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return !slow \|\| /return /; s/!byAnother \|\| lease.UnchangedFor\(now\) >= slowAcquireAfter/true || byAnother/' pkg/controller TestMayAcquireCellOfSilentOwner
+guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
+guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
+guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
+guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
+guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
+guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
+guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
+guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
