--- a/pkg/supervisor/throttler.go
+++ b/pkg/supervisor/throttler.go
@@ -12,8 +12,7 @@
 	// speedStepPercent is the smallest step by which the speed limit of a
 	// best-effort run is raised.
 	speedStepPercent = 15
-	// speedCutDivisor is the largest divisor of the speed limit of a run that
-	// interferes too much.
+	// speedCutDivisor divides the speed limit of a run that interferes too much.
 	speedCutDivisor = 4
 	// pauseAllAfter is how long a latency-critical run may exceed its target
 	// before all best-effort runs are paused, including those whose learned
@@ -105,7 +104,7 @@
 
 // decide returns the speed limits to change now. While a latency-critical run
 // exceeds its target, the limits of the runs with at least half of the highest
-// interference are cut as far as needed; after pauseAllAfter all runs are paused. While all
+// interference are cut; after pauseAllAfter all runs are paused. While all
 // latency-critical runs are well below their targets, all limits are raised.
 func (t *throttler) decide(now time.Time, running []framer.RunStatus) []speedChange {
 	if len(t.speeds) == 0 || !t.measured || now.Before(t.nextAdjustAt) {
@@ -116,14 +115,14 @@
 	for _, r := range running {
 		maxInterference = max(maxInterference, t.currentInterference(r.RunRef))
 	}
-	raise, cut := t.raiseShare(running), t.cutShare(running, maxInterference/2)
+	raise := t.raiseShare(running)
 	var changes []speedChange
 	for _, r := range running {
 		speed, ok := t.speeds[r.RunRef]
 		if !ok {
 			continue
 		}
-		next := t.nextSpeed(speed, raise, cut, t.currentInterference(r.RunRef) >= maxInterference/2)
+		next := t.nextSpeed(speed, raise, t.currentInterference(r.RunRef) >= maxInterference/2)
 		if !gradual {
 			next = 0
 		}
@@ -163,28 +162,10 @@
 	return max(0, room/added)
 }
 
-// cutShare returns the share that is left of the limits of the runs with at
-// least a threshold of interference: enough to bring the tail latencies down to
-// raiseBelowShare of their targets, by the learned interference, but never less
-// than a limit divided by speedCutDivisor.
-func (t *throttler) cutShare(running []framer.RunStatus, threshold float64) float64 {
-	total := 0.0
-	for _, r := range running {
-		if interference := t.currentInterference(r.RunRef); interference >= threshold {
-			total += interference
-		}
-	}
-	if total <= 0 {
-		return 1.0 / speedCutDivisor
-	}
-	needed := math.Log(t.worstShare / raiseBelowShare)
-	return max(1.0/speedCutDivisor, 1-needed/total)
-}
-
-func (t *throttler) nextSpeed(speed int, raise, cut float64, interferesMost bool) int {
+func (t *throttler) nextSpeed(speed int, raise float64, interferesMost bool) int {
 	switch {
 	case t.worstShare > 1 && interferesMost:
-		return int(cut * float64(speed))
+		return speed / speedCutDivisor
 	case t.worstShare < raiseBelowShare:
 		step := int(raise * float64(fullSpeedPercent-speed))
 		return min(fullSpeedPercent, speed+max(speedStepPercent, step))
--- a/pkg/supervisor/throttler_test.go
+++ b/pkg/supervisor/throttler_test.go
@@ -72,11 +72,6 @@
 		h := newThrottlerHarness()
 		assert.DeepEqual(t, h.measureTail(2*testTarget), map[string]int{"heavy": fullSpeedPercent / speedCutDivisor})
 	})
-	t.Run("are cut only as far as needed by the learned interference", func(t *testing.T) {
-		h := newThrottlerHarness()
-		left := 1 - math.Log(1.1/raiseBelowShare)/0.8
-		assert.DeepEqual(t, h.measureTail(1.1*testTarget), map[string]int{"heavy": int(left * fullSpeedPercent)})
-	})
 	t.Run("of the other runs are cut while the target is still exceeded", func(t *testing.T) {
 		h := newThrottlerHarness()
 		h.measureTail(2 * testTarget)
