--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -26,7 +26,8 @@
 	var best *runnerState
 	var bestRating rating
 	for _, s := range order.runners {
-		if w.tooBusy(s) && order == &service.byIdle {
+		if order == &service.byIdle && w.tooBusy(s) {
+			// All runners that follow have no more idle processors.
 			break
 		}
 		if !c.mayPlace(now, s, w, t) {
@@ -157,6 +158,7 @@
 	)
 }
 
+// rate rates a runner for a task; gang is as for chooseRunner.
 func (c *Cell) rate(now time.Time, s *runnerState, t *task, gang []*runnerState) rating {
 	r := rating{
 		penalty: penaltyOf(now, s, t, gang),
@@ -171,6 +173,7 @@
 	return r
 }
 
+// penaltyOf returns the sum of the penalties of a runner for a task.
 func penaltyOf(now time.Time, s *runnerState, t *task, gang []*runnerState) int {
 	step := t.spec()
 	penalty := 0
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -81,7 +81,8 @@
 }
 
 // fullRunners records that no runner could hold a step's tasks. Only those that
-// improved after change may hold them now, as long as queues is in force.
+// improved after change may hold them now, as long as queues is in force. The
+// zero value records nothing.
 type fullRunners struct {
 	change uint64
 	queues *Queues
