--- a/pkg/configurer/page_test.go
+++ b/pkg/configurer/page_test.go
@@ -122,6 +122,7 @@
 		"no store":       {`link = "10.0.0.1:7700"`, "store"},
 		"a host name":    {good + `callers = "front:80"`, "callers"},
 		"a short lease":  {good + `longest-lease = "1ms"`, "longest-lease"},
+		"no processors":  {good + `processors = -1.5`, "processors"},
 		"a long grace":   {good + `grace = "2h"`, "grace"},
 		"a wrong level":  {good + `log-level = "loud"`, "log-level"},
 		"an unknown key": {good + `colour = 1`, "colour"},
