--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -78,16 +78,7 @@
 	for _, row := range rows.jobs {
 		e.cache.applyJob(now, row)
 	}
-	lease := time.Duration(e.cfg.LongestLease)
-	o.cell = scheduler.NewCell(scheduler.Config{
-		Epoch:           o.lease.Epoch(),
-		Assert:          e.assert,
-		Lease:           lease,
-		FormerLeasesEnd: formerLeasesEnd(o.acquiredAt, lease),
-		LogEvent: func(message string, pairs ...any) {
-			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
-		},
-	})
+	o.cell = scheduler.NewCell(e.cellConfig())
 	o.cell.SetQueues(e.queues)
 	e.loadModels(rows.cell)
 	for id := range e.cache.jobs {
@@ -100,6 +91,21 @@
 	e.log.Info("cell loaded", "epoch", o.lease.Epoch(), "jobs", len(e.cache.jobs), "agents", len(e.agents))
 }
 
+// cellConfig returns the configuration of a cell that was just acquired.
+func (e *Entry) cellConfig() scheduler.Config {
+	o := &e.owner
+	lease := time.Duration(e.cfg.LongestLease)
+	return scheduler.Config{
+		Epoch:           o.lease.Epoch(),
+		Assert:          e.assert,
+		Lease:           lease,
+		FormerLeasesEnd: formerLeasesEnd(o.acquiredAt, lease),
+		LogEvent: func(message string, pairs ...any) {
+			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
+		},
+	}
+}
+
 // activate adds a job to the cell, with its progress if there is any, and
 // cancels it there if it is cancelled.
 func (e *Entry) activate(now time.Time, id string) {
