Limit the leases of runners by the time within which tasks run again

A new owner waited from when it had acquired the cell, 1.1 to 1.5 s after the loss of the former one, as if that had granted leases until then. ruled out: a fixed 6 s instead of a setting (operators with longer outages and no long-running tasks want the other side of the trade); leases that an agent renews in short steps under a long permission (an instance that is lost takes agent and runner). change: the setting restart-within, 9 s by default. The lease row states the longest lease in force; a row of an earlier build counts as the platform's maximum. A new owner counts from when it last saw the row change.

--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -30,6 +30,11 @@
 	LogLevel string `toml:"log-level"`
 	// LongestLease is the maximum duration of a lease that a runner grants.
 	LongestLease publisher.Duration `toml:"longest-lease"`
+	// RestartWithin is the longest time until the tasks of a lost runner start
+	// elsewhere, also if the owner of the cell is lost with it: 6s to 1h. It
+	// limits the leases of runners; with short ones, runs end in an outage that
+	// is longer.
+	RestartWithin publisher.Duration `toml:"restart-within"`
 	// Grace is the maximum time that a process may take to shut down.
 	Grace publisher.Duration `toml:"grace"`
 	// Callers is the IP number and port for callers' requests; entries only.
@@ -47,9 +52,10 @@
 // FleetDefaults returns the defaults of the settings that a file may omit.
 func FleetDefaults() Fleet {
 	return Fleet{
-		LogLevel:     "info",
-		LongestLease: publisher.Duration(6 * time.Second),
-		Grace:        publisher.Duration(6 * time.Second),
+		LogLevel:      "info",
+		LongestLease:  publisher.Duration(6 * time.Second),
+		RestartWithin: publisher.Duration(9 * time.Second),
+		Grace:         publisher.Duration(6 * time.Second),
 	}
 }
 
@@ -75,6 +81,7 @@
 
 func (f *Fleet) check() error {
 	const minDuration, maxDuration = int64(time.Second), int64(time.Hour)
+	const minRestart = int64(6 * time.Second)
 	const maxProcessors = 1 << 10
 	checks := []error{
 		checkAddress("link", f.Link),
@@ -82,6 +89,7 @@
 		checkLogLevel(f.LogLevel),
 		publisher.CheckRange("processors", int64(math.Ceil(f.Processors)), 0, maxProcessors),
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
+		publisher.CheckRange("restart-within", int64(f.RestartWithin), minRestart, maxDuration),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
 		checkOptionalAddress("callers", f.Callers),
 		checkOptionalAddress("readiness", f.Readiness),
--- a/pkg/controller/cell_play_test.go
+++ b/pkg/controller/cell_play_test.go
@@ -123,19 +123,27 @@
 func (p *cellPlay) acquire(changedAt time.Time, formerEpoch uint64) {
 	e := &Entry{
 		cfg: configurer.Fleet{
-			Link:         self,
-			LongestLease: publisher.Duration(platformLease),
+			Link:          self,
+			LongestLease:  publisher.Duration(platformLease),
+			RestartWithin: configurer.FleetDefaults().RestartWithin,
 		},
 		log:    hclog.NewNullLogger(),
 		assert: asserter.New(func(name string, pairs ...any) { p.t.Fatalf("invariant %s broken: %v", name, pairs) }),
 		cache:  newJobCache(hclog.NewNullLogger()),
 	}
-	e.owner.lease = observedLease(changedAt, other)
-	e.owner.lease.Observe(changedAt, 5, leaser.Row{
-		Owner: other,
-		Epoch: formerEpoch,
+	e.owner.lease = leaser.NewWith(self, leaser.Terms{
+		Duration:     leaseDuration,
+		AcquireAfter: acquireAfter,
 	})
-	e.owner.acquiredAt = p.now
+	e.cache.lease = leaseRowOf(leaseRow{
+		Lease: leaser.Row{
+			Owner: other,
+			Epoch: formerEpoch,
+		},
+		RunnerLeaseMillis: e.longestGranted(p.now).Milliseconds(),
+	})
+	e.observeLease(changedAt)
+	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
 	e.owner.lease.ConfirmedAtVersion(p.now, 6)
 	p.entry = e
 	p.cell = scheduler.NewCell(e.cellConfig())
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -94,12 +94,12 @@
 // cellConfig returns the configuration of a cell that was just acquired.
 func (e *Entry) cellConfig() scheduler.Config {
 	o := &e.owner
-	lease := time.Duration(e.cfg.LongestLease)
 	return scheduler.Config{
 		Epoch:           o.lease.Epoch(),
 		Assert:          e.assert,
-		Lease:           lease,
-		FormerLeasesEnd: formerLeasesEnd(o.acquiredAt, lease),
+		Lease:           runnerLease(e.cfg),
+		LongestLease:    time.Duration(e.cfg.LongestLease),
+		FormerLeasesEnd: o.leasesEnd,
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -30,9 +30,6 @@
 	renewInterval = 350 * time.Millisecond
 	// resendDelay is the delay before a failed write is retried.
 	resendDelay = 100 * time.Millisecond
-	// leaseDriftPercent and leaseMargin allow for slow clocks of runners.
-	leaseDriftPercent = 3
-	leaseMargin       = 500 * time.Millisecond
 )
 
 // owner is the state of an entry that owns the cell or tries to acquire it. It
@@ -44,9 +41,12 @@
 	write  *pendingWrite
 	// loading is set while the rows of the cell are read after it was
 	// acquired.
-	loading    bool
-	acquiredAt time.Time
-	lastWrite  time.Time
+	loading bool
+	former  formerOwner
+	// leasesEnd is when the last lease of a runner expires that a former owner
+	// can have granted.
+	leasesEnd time.Time
+	lastWrite time.Time
 	// nextModelWrite is when learned models are written next, and nextModel the
 	// number of the first one.
 	nextModelWrite time.Time
@@ -79,6 +79,7 @@
 	}
 	if !e.owner.lease.Held() && e.owner.write == nil {
 		e.owner.lease.Observe(now, e.cache.lease.Version, row.Lease)
+		e.owner.former.runnerLease = time.Duration(row.RunnerLeaseMillis) * time.Millisecond
 	}
 }
 
@@ -111,6 +112,7 @@
 	if o.write != nil || o.leaving || !e.leaseRead || !mayAcquire(now, o.lease, e.relay.Slow(), e.yieldTime()) {
 		return
 	}
+	o.leasesEnd = o.former.leasesEnd(o.lease.SeenAt(), time.Duration(e.cfg.LongestLease))
 	e.startWrite(now, &pendingWrite{
 		acquire: true,
 	})
@@ -146,12 +148,6 @@
 	return 0
 }
 
-// formerLeasesEnd returns when the last lease expires that a former owner can
-// have granted, also if it has not yet noticed that it was replaced.
-func formerLeasesEnd(acquiredAt time.Time, lease time.Duration) time.Time {
-	return acquiredAt.Add(leaseDuration + lease + lease*leaseDriftPercent/100 + leaseMargin)
-}
-
 // commit writes changes, or renews the lease if that is due. Only one write is
 // pending at a time.
 func (e *Entry) commit(now time.Time) {
@@ -199,9 +195,10 @@
 		Puts: []storer.Put{{
 			Key: leaseKey(),
 			Value: storer.EncodeCBOR(leaseRow{
-				Lease:   row,
-				Address: e.cfg.Link,
-				Serial:  w.serial,
+				Lease:             row,
+				Address:           e.cfg.Link,
+				Serial:            w.serial,
+				RunnerLeaseMillis: e.longestGranted(now).Milliseconds(),
 			}),
 		}},
 	}
@@ -307,7 +304,6 @@
 	}
 	if w.acquire {
 		e.log.Info("cell acquired", "epoch", o.lease.Epoch())
-		o.acquiredAt = now
 		e.loadCell()
 		return
 	}
--- a/pkg/controller/owner_test.go
+++ b/pkg/controller/owner_test.go
@@ -74,13 +74,3 @@
 		assert.Equal(t, small(0.5).yieldTime(), time.Duration(0))
 	})
 }
-
-func TestFormerLeasesEndCoversLastGrant(t *testing.T) {
-	acquiredAt := time.Unix(1000, 0)
-	const lease = 6 * time.Second
-	// The former owner's last write was confirmed just before the cell was
-	// acquired. It grants leases until its own lease expires, and the runner's
-	// clock is 2 % slow.
-	last := acquiredAt.Add(leaseDuration + lease*102/100)
-	assert.Assert(t, formerLeasesEnd(acquiredAt, lease).After(last))
-}
--- a/pkg/controller/rows.go
+++ b/pkg/controller/rows.go
@@ -42,6 +42,9 @@
 	Lease   leaser.Row `cbor:"lease"`
 	Address string     `cbor:"address"`
 	Serial  uint64     `cbor:"serial"`
+	// RunnerLeaseMillis is the duration of the longest lease of a runner that
+	// may be in force, in milliseconds; 0 if the owner does not state it.
+	RunnerLeaseMillis int64 `cbor:"runner-lease-millis,omitempty"`
 }
 
 // jobPartition returns the partition of a job. Jobs are spread over partitions
--- /dev/null
+++ b/pkg/controller/runner_leases.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
+)
+
+// restartOverhead is how long the restart of a lost runner's tasks takes beside
+// the wait for its lease: a former owner may grant leases until its own one
+// expires, and the last reading of the runner's clock, the placement and its
+// commit take time.
+const restartOverhead = leaseDuration + 800*time.Millisecond
+
+// runnerLease returns the duration of the leases that an owner grants to
+// runners. Runs survive an outage that is shorter, so they last as long as the
+// platform permits and Fleet.RestartWithin allows.
+func runnerLease(cfg configurer.Fleet) time.Duration {
+	return min(time.Duration(cfg.LongestLease), scheduler.LeaseWithin(time.Duration(cfg.RestartWithin)-restartOverhead))
+}
+
+// formerOwner is what the lease row states of the owners before this one.
+type formerOwner struct {
+	// runnerLease is the duration of the longest lease of a runner that may be
+	// in force; zero if the row does not state it.
+	runnerLease time.Duration
+}
+
+// leasesEnd returns when the last lease of a runner expires that a former owner
+// can have granted, also if it has not yet noticed that it was replaced. It
+// grants leases for leaseDuration after it sent its last write, which is the
+// row that was observed at seenAt. longest is the longest lease that the
+// platform permits.
+func (f formerOwner) leasesEnd(seenAt time.Time, longest time.Duration) time.Time {
+	lease := f.runnerLease
+	if lease == 0 {
+		lease = longest
+	}
+	return seenAt.Add(leaseDuration + scheduler.MaxLease(lease))
+}
+
+// longestGranted returns the duration of the longest lease of a runner that may
+// be in force: this owner's, or a former one's until the last of those expired.
+func (e *Entry) longestGranted(now time.Time) time.Duration {
+	lease := runnerLease(e.cfg)
+	switch former := e.owner.former.runnerLease; {
+	case now.After(e.owner.leasesEnd):
+		return lease
+	case former == 0:
+		return time.Duration(e.cfg.LongestLease)
+	default:
+		return max(lease, former)
+	}
+}
--- /dev/null
+++ b/pkg/controller/runner_leases_test.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
+)
+
+// leaseRowOf returns a version of the lease row with a value.
+func leaseRowOf(row leaseRow) storer.PartitionedRow {
+	return storer.PartitionedRow{
+		Key:     leaseKey(),
+		Version: 5,
+		Value:   storer.EncodeCBOR(row),
+	}
+}
+
+// entryAfter returns an entry that observed the lease row of a former owner.
+func entryAfter(seenAt time.Time, longest time.Duration, row leaseRow) *Entry {
+	e := &Entry{
+		cfg: configurer.Fleet{
+			LongestLease:  publisher.Duration(longest),
+			RestartWithin: configurer.FleetDefaults().RestartWithin,
+		},
+		cache: newJobCache(nil),
+	}
+	e.owner.lease = leaser.New(self)
+	e.cache.lease = leaseRowOf(row)
+	e.observeLease(seenAt)
+	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), longest)
+	return e
+}
+
+func TestFormerLeasesEndCoversLastGrant(t *testing.T) {
+	const longest = 10 * time.Second
+	seenAt := time.Unix(1000, 0)
+	// assertCovers checks the case in which the former owner's last write was
+	// sent just before its row was observed. It grants leases until its own lease
+	// expires, and the runner's clock is 2 % slow.
+	assertCovers := func(t *testing.T, row leaseRow, lease time.Duration) {
+		t.Helper()
+		last := seenAt.Add(leaseDuration + lease*102/100)
+		assert.Assert(t, entryAfter(seenAt, longest, row).owner.leasesEnd.After(last))
+	}
+	t.Run("the row states the leases", func(t *testing.T) {
+		row := leaseRow{
+			RunnerLeaseMillis: 6000,
+		}
+		assertCovers(t, row, 6*time.Second)
+	})
+	t.Run("the row does not state them", func(t *testing.T) {
+		assertCovers(t, leaseRow{}, longest)
+	})
+}
+
+func TestLeaseRowStatesLongestLeaseInForce(t *testing.T) {
+	const longest = 10 * time.Second
+	seenAt := time.Unix(1000, 0)
+	t.Run("a former owner's while it may be in force", func(t *testing.T) {
+		e := entryAfter(seenAt, longest, leaseRow{})
+		assert.Equal(t, e.longestGranted(e.owner.leasesEnd), longest)
+	})
+	t.Run("its own afterwards", func(t *testing.T) {
+		e := entryAfter(seenAt, longest, leaseRow{})
+		assert.Equal(t, e.longestGranted(e.owner.leasesEnd.Add(1)), runnerLease(e.cfg))
+	})
+	t.Run("its own if that is longer", func(t *testing.T) {
+		e := entryAfter(seenAt, longest, leaseRow{
+			RunnerLeaseMillis: 1000,
+		})
+		assert.Equal(t, e.longestGranted(seenAt), runnerLease(e.cfg))
+	})
+}
+
+func TestRunnerLeaseIsLimited(t *testing.T) {
+	lease := func(longest, restartWithin time.Duration) time.Duration {
+		return runnerLease(configurer.Fleet{
+			LongestLease:  publisher.Duration(longest),
+			RestartWithin: publisher.Duration(restartWithin),
+		})
+	}
+	t.Run("by the platform", func(t *testing.T) {
+		assert.Equal(t, lease(6*time.Second, time.Hour), 6*time.Second)
+	})
+	t.Run("by the time within which tasks must run again", func(t *testing.T) {
+		assert.Assert(t, lease(10*time.Second, 9*time.Second) < 9*time.Second-restartOverhead)
+	})
+}
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -95,6 +95,11 @@
 	return now.Sub(l.seenAt)
 }
 
+// SeenAt returns when the row was first observed as it is now.
+func (l *Lease) SeenAt() time.Time {
+	return l.seenAt
+}
+
 // Next returns the version that the next write must replace and the row that
 // acquires or renews ownership. Acquiring increments the epoch.
 func (l *Lease) Next() (uint64, Row) {
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -29,6 +29,8 @@
 	// Lease is how long a runner's lease lasts from the time at which its clock
 	// was read.
 	Lease time.Duration
+	// LongestLease is the maximum duration of a lease that a runner grants.
+	LongestLease time.Duration
 	// FormerLeasesEnd is when the last lease that a former owner could have
 	// granted expires.
 	FormerLeasesEnd time.Time
@@ -92,6 +94,7 @@
 	if cfg.LogEvent == nil {
 		cfg.LogEvent = func(string, ...any) {}
 	}
+	cfg.LongestLease = max(cfg.LongestLease, cfg.Lease)
 	models := newInterference()
 	return &Cell{
 		cfg:          cfg,
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -108,8 +108,9 @@
 	}
 	c.loseRuns(old, "runner restarted without runs")
 	// A delayed call to the earlier incarnation may still reach this one, with
-	// a lease by the earlier incarnation's clock.
-	s.leaseEnd = maxTime(s.leaseEnd, now.Add(maxCallDelay+c.maxLease()))
+	// a lease by the earlier incarnation's clock, which this one shortens to the
+	// longest that it grants.
+	s.leaseEnd = maxTime(s.leaseEnd, now.Add(maxCallDelay+MaxLease(c.cfg.LongestLease)))
 	c.removeRunner(old)
 }
 
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -73,7 +73,18 @@
 
 // maxLease returns how long a lease may last by this process's clock.
 func (c *Cell) maxLease() time.Duration {
-	return c.cfg.Lease + c.cfg.Lease*leaseDriftPercent/100 + leaseMargin
+	return MaxLease(c.cfg.Lease)
+}
+
+// MaxLease returns how long a lease on a runner may last by the clock of another
+// instance.
+func MaxLease(lease time.Duration) time.Duration {
+	return lease + lease*leaseDriftPercent/100 + leaseMargin
+}
+
+// LeaseWithin returns the longest lease whose MaxLease is at most d.
+func LeaseWithin(d time.Duration) time.Duration {
+	return (d - leaseMargin) * 100 / (100 + leaseDriftPercent)
 }
 
 // sharing returns what an agent needs to throttle best-effort runs. ok is false
