Raise the epoch when a runner restarts under its id

A delayed call for the earlier incarnation of a runner may reach the new one and extend its lease, so the owner waited 12 s and a longest lease from the restart if the new incarnation was lost too: the tasks ran again after up to 22.6 s. ruled out: a token of its own for each incarnation beside the epoch (an older agent would be rejected by every runner that has seen one); no tasks on a restarted runner for 12 s (capacity is missing just when runners fail). change: the owner raises its epoch with its next write. A runner that has listed its runs under that epoch rejects the delayed calls; the agent reports the epoch of its last listing.

--- a/pkg/controller/cell_play_test.go
+++ b/pkg/controller/cell_play_test.go
@@ -36,6 +36,10 @@
 	finished  []framer.FinishedRun
 	sequence  int64
 	lost      bool
+	// epoch is the highest epoch received, listedEpoch the one of the last
+	// listing.
+	epoch       uint64
+	listedEpoch uint64
 }
 
 // playedRun is a run in progress; one without an end lasts.
@@ -220,6 +224,9 @@
 			}
 			p.cell.Committed(commit)
 		}
+		if p.cell.EpochRaiseDue() {
+			p.cell.SetEpoch(p.cell.Epoch() + 1)
+		}
 		for _, agent := range p.cell.Dirty() {
 			p.sync(agent)
 		}
@@ -231,12 +238,14 @@
 		if !r.lost {
 			r.advance(p.now)
 			r.listedAt = p.now
+			r.listedEpoch = r.epoch
 		}
 		p.cell.HandleReport(p.now, name, framer.Report{
 			Runner:           r.info,
 			ClockMillis:      r.listedAt.Sub(r.startedAt).Milliseconds() + 1,
 			Listed:           true,
 			ListingAgeMillis: p.now.Sub(r.listedAt).Milliseconds(),
+			ListedEpoch:      r.listedEpoch,
 			Running:          r.statuses(),
 			Finished:         slices.Clone(r.finished),
 		})
@@ -246,6 +255,7 @@
 func (p *cellPlay) sync(name string) {
 	r := p.runners[name]
 	message := p.cell.Sync(p.now, name, true)
+	r.epoch = message.Epoch
 	if r.lost {
 		return
 	}
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -162,11 +162,15 @@
 		return
 	}
 	var commit scheduler.Commit
-	changed := false
+	changed, raise := false, false
 	if o.cell != nil {
 		commit, changed = o.cell.Commit()
+		raise = o.cell.EpochRaiseDue()
 	}
-	if changed || now.Sub(o.lastWrite) >= renewInterval {
+	if raise {
+		o.lease.RaiseEpoch()
+	}
+	if changed || raise || now.Sub(o.lastWrite) >= renewInterval {
 		w := &pendingWrite{
 			commit: commit,
 		}
@@ -308,6 +312,7 @@
 		return
 	}
 	if o.cell != nil {
+		o.cell.SetEpoch(o.lease.Epoch())
 		o.cell.Committed(w.commit)
 	}
 }
--- a/pkg/controller/runner_leases_test.go
+++ b/pkg/controller/runner_leases_test.go
@@ -22,10 +22,10 @@
 }
 
 // entryAfter returns an entry that observed the lease row of a former owner.
-func entryAfter(seenAt time.Time, longest time.Duration, row leaseRow) *Entry {
+func entryAfter(seenAt time.Time, row leaseRow) *Entry {
 	e := &Entry{
 		cfg: configurer.Fleet{
-			LongestLease:  publisher.Duration(longest),
+			LongestLease:  publisher.Duration(platformLease),
 			RestartWithin: configurer.FleetDefaults().RestartWithin,
 		},
 		cache: newJobCache(nil),
@@ -33,12 +33,11 @@
 	e.owner.lease = leaser.New(self)
 	e.cache.lease = leaseRowOf(row)
 	e.observeLease(seenAt)
-	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), longest)
+	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
 	return e
 }
 
 func TestFormerLeasesEndCoversLastGrant(t *testing.T) {
-	const longest = 10 * time.Second
 	seenAt := time.Unix(1000, 0)
 	// assertCovers checks the case in which the former owner's last write was
 	// sent just before its row was observed. It grants leases until its own lease
@@ -46,7 +45,7 @@
 	assertCovers := func(t *testing.T, row leaseRow, lease time.Duration) {
 		t.Helper()
 		last := seenAt.Add(leaseDuration + lease*102/100)
-		assert.Assert(t, entryAfter(seenAt, longest, row).owner.leasesEnd.After(last))
+		assert.Assert(t, entryAfter(seenAt, row).owner.leasesEnd.After(last))
 	}
 	t.Run("the row states the leases", func(t *testing.T) {
 		row := leaseRow{
@@ -55,23 +54,22 @@
 		assertCovers(t, row, 6*time.Second)
 	})
 	t.Run("the row does not state them", func(t *testing.T) {
-		assertCovers(t, leaseRow{}, longest)
+		assertCovers(t, leaseRow{}, platformLease)
 	})
 }
 
 func TestLeaseRowStatesLongestLeaseInForce(t *testing.T) {
-	const longest = 10 * time.Second
 	seenAt := time.Unix(1000, 0)
 	t.Run("a former owner's while it may be in force", func(t *testing.T) {
-		e := entryAfter(seenAt, longest, leaseRow{})
-		assert.Equal(t, e.longestGranted(e.owner.leasesEnd), longest)
+		e := entryAfter(seenAt, leaseRow{})
+		assert.Equal(t, e.longestGranted(e.owner.leasesEnd), platformLease)
 	})
 	t.Run("its own afterwards", func(t *testing.T) {
-		e := entryAfter(seenAt, longest, leaseRow{})
+		e := entryAfter(seenAt, leaseRow{})
 		assert.Equal(t, e.longestGranted(e.owner.leasesEnd.Add(1)), runnerLease(e.cfg))
 	})
 	t.Run("its own if that is longer", func(t *testing.T) {
-		e := entryAfter(seenAt, longest, leaseRow{
+		e := entryAfter(seenAt, leaseRow{
 			RunnerLeaseMillis: 1000,
 		})
 		assert.Equal(t, e.longestGranted(seenAt), runnerLease(e.cfg))
--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -130,6 +130,9 @@
 	// the time since it last did.
 	Listed           bool  `cbor:"fresh,omitempty"`
 	ListingAgeMillis int64 `cbor:"age-millis,omitempty"`
+	// ListedEpoch is the epoch of the call that the last listing answered. The
+	// runner carries out no call of an earlier epoch after that.
+	ListedEpoch uint64 `cbor:"listed-epoch,omitempty"`
 	// Started lists the runs that the runner accepted.
 	Started  []RunRef      `cbor:"started,omitempty"`
 	Running  []RunStatus   `cbor:"running,omitempty"`
--- a/pkg/leaser/lease.go
+++ b/pkg/leaser/lease.go
@@ -37,6 +37,7 @@
 	held      bool
 	validTo   time.Time
 	contactAt time.Time
+	raising   bool
 	terms     Terms
 }
 
@@ -101,18 +102,25 @@
 }
 
 // Next returns the version that the next write must replace and the row that
-// acquires or renews ownership. Acquiring increments the epoch.
+// acquires or renews ownership. Acquiring increments the epoch, as does a
+// renewal after RaiseEpoch.
 func (l *Lease) Next() (uint64, Row) {
 	row := Row{
 		Owner: l.self,
 		Epoch: l.row.Epoch,
 	}
-	if !l.held {
+	if !l.held || l.raising {
 		row.Epoch++
 	}
 	return l.version, row
 }
 
+// RaiseEpoch makes the next renewal increment the epoch. It must not be called
+// while a renewal is pending.
+func (l *Lease) RaiseEpoch() {
+	l.raising = true
+}
+
 // Confirmed records that the table accepted the row that Next returned and that
 // was sent at sentAt. The row's version increases by one.
 func (l *Lease) Confirmed(sentAt time.Time) {
@@ -126,6 +134,7 @@
 	l.version = version
 	l.row = row
 	l.held = true
+	l.raising = false
 	l.validTo = sentAt.Add(l.terms.Duration)
 	l.contactAt = sentAt
 }
@@ -134,6 +143,7 @@
 func (l *Lease) Lost() {
 	l.held = false
 	l.known = false
+	l.raising = false
 }
 
 // Held reports whether this process acquired the cell and has not recorded its
--- a/pkg/leaser/lease_test.go
+++ b/pkg/leaser/lease_test.go
@@ -76,3 +76,18 @@
 	})
 	assert.Assert(t, l.MayAcquire(now))
 }
+
+func TestRaisedEpochIsConfirmedOnce(t *testing.T) {
+	l := New("a")
+	l.Observe(start, 5, Row{Owner: "b", Epoch: 3})
+	l.Confirmed(start)
+	assert.Equal(t, l.Epoch(), uint64(4))
+	l.RaiseEpoch()
+	assert.Equal(t, l.Epoch(), uint64(4), "it is in force once it is written")
+	_, row := l.Next()
+	assert.Equal(t, row.Epoch, uint64(5))
+	l.Confirmed(start)
+	assert.Equal(t, l.Epoch(), uint64(5))
+	_, row = l.Next()
+	assert.Equal(t, row.Epoch, uint64(5))
+}
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -60,6 +60,8 @@
 	// committed are persisted.
 	change    uint64
 	committed uint64
+	// requiredEpoch is the epoch to which the owner must raise its own.
+	requiredEpoch uint64
 	// interference is the learned model of how co-located tasks slow one
 	// another.
 	interference *interference
@@ -117,6 +119,26 @@
 	return c.cfg.Epoch
 }
 
+// EpochRaiseDue reports whether the owner must raise its epoch, with its next
+// write, so that runners reject delayed calls of the present one.
+func (c *Cell) EpochRaiseDue() bool {
+	return c.requiredEpoch > c.cfg.Epoch
+}
+
+// SetEpoch records a higher epoch under which the cell is owned.
+func (c *Cell) SetEpoch(epoch uint64) {
+	if epoch == c.cfg.Epoch {
+		return
+	}
+	c.cfg.Epoch = epoch
+	c.cfg.LogEvent("epoch raised")
+	for _, s := range c.runners {
+		if s.fencedFrom > 0 {
+			s.needsSync()
+		}
+	}
+}
+
 // SetQueues replaces the queue configuration unless q is nil or older than the
 // current version.
 func (c *Cell) SetQueues(q *Queues) {
@@ -329,7 +351,7 @@
 
 func (c *Cell) expireLeases(now time.Time) {
 	for _, s := range c.runners {
-		if !now.After(s.leaseEnd) {
+		if !now.After(s.leaseEnd) || !now.After(s.delayedLeaseEnd) {
 			continue
 		}
 		if len(s.tasks) > 0 {
@@ -341,6 +363,13 @@
 	}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
 // TestPlacementDoesNotExtendLeaseOfLostRunner guards against the incident LOST:
@@ -24,3 +26,64 @@
 	h.cell.Tick(h.now, true)
 	assert.Equal(t, h.cell.Counts.Lost, int64(2))
 }
+
+// TestLeaseOfRestartedRunner guards against the incident LOST: the tasks of a
+// runner that had restarted under its id and was then lost waited for delayed
+// calls for the earlier incarnation, also once the runner rejected those.
+func TestLeaseOfRestartedRunner(t *testing.T) {
+	const longestLease = 10 * time.Second
+	// restart returns a harness with a runner that just restarted under its id.
+	restart := func(t *testing.T) *cellHarness {
+		h := newCellHarness(t, "a")
+		h.cell.cfg.LongestLease = longestLease
+		h.advance(time.Second)
+		r := h.runners["a"]
+		r.Runner.Key.StartedAtMillis++
+		r.ClockMillis = 0
+		h.report("a")
+		return h
+	}
+	// assertExpires checks how long the cell waits for the runner's last lease if
+	// the runner is lost now.
+	assertExpires := func(t *testing.T, h *cellHarness, after time.Duration) {
+		t.Helper()
+		h.add("j", "checks", newStep(1, 500))
+		h.tickUntilIdle()
+		assert.Equal(t, h.cell.jobs["j"].placed, 1)
+		h.now = h.now.Add(after)
+		h.cell.Tick(h.now, false)
+		assert.Equal(t, h.cell.Counts.Lost, int64(0))
+		h.now = h.now.Add(expiryInterval)
+		h.cell.Tick(h.now, false)
+		assert.Equal(t, h.cell.Counts.Lost, int64(1))
+	}
+	t.Run("a delayed call may grant the longest lease", func(t *testing.T) {
+		assertExpires(t, restart(t), maxCallDelay+MaxLease(longestLease))
+	})
+	t.Run("calls of an earlier epoch are rejected after a listing under a higher one", func(t *testing.T) {
+		h := restart(t)
+		assert.Assert(t, h.cell.EpochRaiseDue())
+		h.cell.SetEpoch(2)
+		assert.Assert(t, !h.cell.EpochRaiseDue())
+		assert.DeepEqual(t, h.cell.Dirty(), []string{"a"})
+		h.runners["a"].ListedEpoch = 2
+		h.report("a")
+		assertExpires(t, h, MaxLease(longestLease))
+	})
+	t.Run("a listing under the epoch of the earlier incarnation proves nothing", func(t *testing.T) {
+		h := restart(t)
+		h.cell.SetEpoch(2)
+		h.runners["a"].ListedEpoch = 1
+		h.report("a")
+		assertExpires(t, h, maxCallDelay+MaxLease(longestLease))
+	})
+	t.Run("a runner with a new id receives no delayed calls", func(t *testing.T) {
+		h := newCellHarness(t, "a")
+		h.runners["a"].Runner.Key = framer.RunnerKey{
+			ID:              "i-new",
+			StartedAtMillis: 2000,
+		}
+		h.report("a")
+		assert.Assert(t, !h.cell.EpochRaiseDue())
+	})
+}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -19,6 +19,7 @@
 		s.clockMillis = r.ClockMillis
 		s.clockAt = now
 	}
+	c.recordFence(now, s, r)
 	listed := s.recordListing(now, r)
 	if c.renewalDue(now, s) {
 		s.needsSync()
@@ -79,8 +80,10 @@
 	s.reported = true
 	s.setAgent(agent)
 	c.agents[agent] = s
-	if info.Left && s.leaseEnd.After(now.Add(leaveMargin)) {
-		s.leaseEnd = now.Add(leaveMargin)
+	if info.Left {
+		end := now.Add(leaveMargin)
+		s.leaseEnd = minTime(s.leaseEnd, end)
+		s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, end)
 	}
 	if draining {
 		c.drain(now, s)
@@ -109,11 +112,25 @@
 	c.loseRuns(old, "runner restarted without runs")
 	// A delayed call to the earlier incarnation may still reach this one, with
 	// a lease by the earlier incarnation's clock, which this one shortens to the
-	// longest that it grants.
-	s.leaseEnd = maxTime(s.leaseEnd, now.Add(maxCallDelay+MaxLease(c.cfg.LongestLease)))
+	// longest that it grants. A higher epoch makes this one reject such calls.
+	s.delayedLeaseEnd = now.Add(maxCallDelay + MaxLease(c.cfg.LongestLease))
+	s.fencedFrom = c.cfg.Epoch + 1
+	c.requiredEpoch = s.fencedFrom
 	c.removeRunner(old)
 }
 
+// recordFence records that a runner rejects delayed calls for an earlier
+// incarnation once it has listed its runs under a higher epoch. What they
+// granted before expires a longest lease later.
+func (c *Cell) recordFence(now time.Time, s *runnerState, r framer.Report) {
+	if s.fencedFrom == 0 || !r.Listed || r.ListedEpoch < s.fencedFrom {
+		return
+	}
+	s.fencedFrom = 0
+	listedAt := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
+	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, listedAt.Add(MaxLease(c.cfg.LongestLease)))
+}
+
 // loseRuns releases all tasks of a runner that provably runs none of them.
 func (c *Cell) loseRuns(s *runnerState, why string) {
 	for _, t := range s.placed() {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -52,9 +52,15 @@
 	clockMillis int64
 	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted expires.
-	leaseEnd  time.Time
-	tasks     map[*task]struct{}
-	allocated publisher.Resources
+	leaseEnd time.Time
+	// delayedLeaseEnd is when a lease expires that a delayed call for an earlier
+	// incarnation can have granted. fencedFrom is the epoch from which calls are
+	// sent to this incarnation only; zero if there was no earlier one, or once
+	// the runner has answered such a call.
+	delayedLeaseEnd time.Time
+	fencedFrom      uint64
+	tasks           map[*task]struct{}
+	allocated       publisher.Resources
 	// bestEffortMillis and latencyCriticalMillis are the processors that tasks
 	// of the two kinds request, in thousandths of one.
 	bestEffortMillis      int64
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -83,6 +83,8 @@
 	// listedAt is the time of the latest listing of this incarnation of the
 	// runner.
 	listedAt time.Time
+	// listedEpoch is the epoch of the call that the latest listing answered.
+	listedEpoch uint64
 
 	epoch            uint64
 	leaseUntilMillis int64
@@ -186,6 +188,7 @@
 	c.Counts.RunnerIncarnations++
 	c.clockMillis = 0
 	c.listedAt = time.Time{}
+	c.listedEpoch = 0
 	c.ackedSequence = 0
 	c.deliveredAckSequence = 0
 	c.leaseUntilMillis = 0
@@ -298,6 +301,7 @@
 		Runner:      c.runner,
 		ClockMillis: c.clockMillis,
 		Listed:      !c.listedAt.IsZero(),
+		ListedEpoch: c.listedEpoch,
 		Running:     slices.Clone(c.running),
 		Finished:    slices.Clone(c.finished),
 	}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -73,6 +73,10 @@
 		return
 	}
 	c.listedAt = now
+	if call.Header.Epoch != c.listedEpoch {
+		c.listedEpoch = call.Header.Epoch
+		c.scheduleReport(now)
+	}
 	c.advanceClock(l.ClockMillis)
 	c.deliveredAckSequence = max(c.deliveredAckSequence, call.AckedSequence)
 	hasNew := c.applyListing(l)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -64,7 +64,7 @@
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
 guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].change <= committed//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
-guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/if !now.After\(s.leaseEnd\) \{/if s.agent != "" {/' pkg/scheduler TestLostRunner
+guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/if !now.After\(s.leaseEnd\) .*\{/if s.agent != "" {/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
 guard prediction-error-is-limited pkg/scheduler/interference.go 's/maxResidual = .*/maxResidual = 50/' pkg/scheduler TestOutliersChangeModelLittle
 guard stalled-runners-are-quarantined pkg/scheduler/progress.go 's/s.stalled = true/s.stalled = false/' pkg/scheduler TestStalledRunnerIsQuarantined
@@ -73,7 +73,13 @@
 guard one-burst-counts-once pkg/scheduler/runner_state.go 's/if now.Before\(s.quarantinedUntil\)/if false/' pkg/scheduler TestBurstOfFailuresQuarantinesOnce
 guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) == 0/len(s.tasks) == 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
-guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
+guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
+guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/^\t\tlease = longest/\t\tlease = time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
+guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
+guard placement-extends-no-lease pkg/scheduler/placing.go 's/s.clockAt.Add\(c.maxLease/now.Add(c.maxLease/' pkg/scheduler TestPlacementDoesNotExtendLeaseOfLostRunner
+guard delayed-calls-grant-leases pkg/scheduler/cell.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
+guard higher-epoch-ends-the-wait pkg/scheduler/report.go 's/r.ListedEpoch < s.fencedFrom/true/' pkg/scheduler TestLeaseOfRestartedRunner
+guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fencedFrom//' pkg/scheduler TestLeaseOfRestartedRunner
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
