--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -130,6 +130,8 @@
 	// the time since it last did.
 	Listed           bool  `cbor:"fresh,omitempty"`
 	ListingAgeMillis int64 `cbor:"age-millis,omitempty"`
+	// Unanswered is set while the runner does not answer requests for a listing.
+	Unanswered bool `cbor:"unanswered,omitempty"`
 	// ListedEpoch is the epoch of the call that the last listing answered. The
 	// runner carries out no call of an earlier epoch after that.
 	ListedEpoch uint64 `cbor:"listed-epoch,omitempty"`
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -87,3 +87,19 @@
 		assert.Assert(t, !h.cell.EpochRaiseDue())
 	})
 }
+
+// TestUnansweringRunnerGetsNoTask guards against work that is placed on a lost
+// runner for as long as its last listing counts as recent.
+func TestUnansweringRunnerGetsNoTask(t *testing.T) {
+	h := newCellHarness(t, "a")
+	h.runners["a"].Unanswered = true
+	h.report("a")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, h.cell.jobs["j"].placed, 0)
+	h.runners["a"].Unanswered = false
+	h.report("a")
+	h.now = h.now.Add(placementInterval)
+	h.tickUntilIdle()
+	assert.Equal(t, h.cell.jobs["j"].placed, 1)
+}
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -48,7 +48,9 @@
 	// there is no link to that agent.
 	agent string
 	// listedAt is when the runner last listed its runs.
-	listedAt    time.Time
+	listedAt time.Time
+	// unanswered is set while the runner does not answer its agent.
+	unanswered  bool
 	clockMillis int64
 	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted expires.
@@ -261,7 +263,7 @@
 // schedulable reports whether tasks may be placed on the runner now. After its
 // quarantine, a runner gets one task at a time until one succeeds.
 func (s *runnerState) schedulable(now time.Time) bool {
-	if !s.reported || s.agent == "" || s.info.Draining || s.info.Left || now.Sub(s.listedAt) > listingTTL {
+	if !s.reported || s.agent == "" || s.unanswered || s.info.Draining || s.info.Left || now.Sub(s.listedAt) > listingTTL {
 		return false
 	}
 	if len(s.failedJobs) < quarantineThreshold && !s.stalled {
@@ -382,6 +384,14 @@
 	}
 }
 
+// setUnanswered records whether the runner does not answer its agent.
+func (s *runnerState) setUnanswered(unanswered bool) {
+	if s.unanswered && !unanswered {
+		s.index.improved(s)
+	}
+	s.unanswered = unanswered
+}
+
 func sameInfo(a, b framer.RunnerInfo) bool {
 	return a.Address == b.Address && a.Key == b.Key && a.Service == b.Service && a.FailureDomain == b.FailureDomain &&
 		a.ProcessorMillis == b.ProcessorMillis && a.MemoryBytes == b.MemoryBytes && a.Accelerators == b.Accelerators &&
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -30,6 +30,9 @@
 	// listingTTL is how long a listing is valid as evidence of which incarnation
 	// of the runner is present.
 	listingTTL = 1500 * time.Millisecond
+	// maxUnansweredRenewals is how many lease renewals in a row may get no
+	// response before the runner is reported as unanswering. One may be lost.
+	maxUnansweredRenewals = 2
 	// maxCallsInFlight bounds the concurrent start and stop calls to the runner.
 	maxCallsInFlight = 16
 )
@@ -102,11 +105,13 @@
 	finished          []framer.FinishedRun
 	throttler         *throttler
 
-	renewing    bool
-	renewCalls  uint64
-	nextRenewal time.Time
-	nextReport  time.Time
-	actions     []Action
+	renewing bool
+	// unansweredRenewals counts the latest lease renewals without a response.
+	unansweredRenewals int
+	renewCalls         uint64
+	nextRenewal        time.Time
+	nextReport         time.Time
+	actions            []Action
 
 	// Counts are totals since the start of the agent.
 	Counts Counts
@@ -189,6 +194,7 @@
 	c.clockMillis = 0
 	c.listedAt = time.Time{}
 	c.listedEpoch = 0
+	c.unansweredRenewals = 0
 	c.ackedSequence = 0
 	c.deliveredAckSequence = 0
 	c.leaseUntilMillis = 0
@@ -301,6 +307,7 @@
 		Runner:      c.runner,
 		ClockMillis: c.clockMillis,
 		Listed:      !c.listedAt.IsZero(),
+		Unanswered:  c.unansweredRenewals >= maxUnansweredRenewals,
 		ListedEpoch: c.listedEpoch,
 		Running:     slices.Clone(c.running),
 		Finished:    slices.Clone(c.finished),
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -63,6 +63,7 @@
 	if call.Header.Runner != c.runner.Key {
 		return
 	}
+	c.countUnanswered(now, err)
 	if err != nil || l.Refusal != "" {
 		c.nextRenewal = now.Add(renewBackoff)
 		return
@@ -91,6 +92,20 @@
 	}
 }
 
+// countUnanswered counts lease renewals without a response. The owner learns at
+// once that the runner stopped answering or answers again, since it places runs
+// on runners that were listed a short time ago.
+func (c *Core) countUnanswered(now time.Time, err error) {
+	before := c.unansweredRenewals >= maxUnansweredRenewals
+	c.unansweredRenewals++
+	if err == nil {
+		c.unansweredRenewals = 0
+	}
+	if before != (c.unansweredRenewals >= maxUnansweredRenewals) {
+		c.scheduleReport(now)
+	}
+}
+
 // applyListing stores the running and finished runs and reports whether a
 // finished run is new.
 func (c *Core) applyListing(l Listing) bool {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -80,6 +80,8 @@
 guard delayed-calls-grant-leases pkg/scheduler/cell.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
 guard higher-epoch-ends-the-wait pkg/scheduler/report.go 's/r.ListedEpoch < s.fencedFrom/true/' pkg/scheduler TestLeaseOfRestartedRunner
 guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fencedFrom//' pkg/scheduler TestLeaseOfRestartedRunner
+guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \|\| s.unanswered \|\|/ ||/' pkg/scheduler TestUnansweringRunnerGetsNoTask
+guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
