A quarantine delays a task, it does not keep it waiting

cause: a quarantine lasts up to a minute, and after it a runner took no task while one finite task was on it. While all runners with room were quarantined, tasks waited for that long although there was room: the quarantine outlived what had caused it. ruled out: a lower limit of the quarantine, which lets runners that fail everything take tasks while others have room; ending a quarantine by a long-running run at work, which is no proof for finite runs. Failures of long-running tasks still count against a runner. change: a task that no other runner could hold for 1.5 s is placed on the quarantined runner with room on which it did not fail and whose quarantine ends first, if it is long-running (one each 0.5 s and runner) or its job has nothing running (one each 2 s and runner, as its attempts are limited). The reference in placing_reference_test.go decides the same by a scan.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -17,6 +17,14 @@
 // runners that were chosen for earlier members of the task's gang. A rack-local
 // gang prefers runners with the labels of the first one, which name its rack.
 func (c *Cell) chooseRunner(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
+	if s := c.chooseSchedulable(now, w, t, gang); s != nil {
+		return s
+	}
+	return c.chooseQuarantined(now, w, t)
+}
+
+// chooseSchedulable is like chooseRunner, without quarantined runners.
+func (c *Cell) chooseSchedulable(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
 	c.index.refresh()
 	service := c.index.service(c.service(w.job))
 	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang {
@@ -45,7 +53,7 @@
 	return best
 }
 
-// chooseImproved is like chooseRunner, for a step whose tasks no runner could
+// chooseImproved is like chooseSchedulable, for a step whose tasks no runner could
 // hold at a change; only the runners that improved since then are considered.
 func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
 	order := v.orderFor(t.spec())
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -73,11 +73,14 @@
 		s := c.chooseRunner(now, w, t, nil)
 		if s == nil {
 			c.recordFullRunners(w)
+			w.recordWaiting(now, true)
 			return
 		}
 		c.start(now, s, t)
+		s.recordProbe(now)
 		w.starved = w.starved && w.job.placed < minRunning
 	}
+	w.recordWaiting(now, false)
 }
 
 // fullRunners records that no runner could hold a step's tasks. Only those that
@@ -86,14 +89,16 @@
 type fullRunners struct {
 	change uint64
 	queues *Queues
+	// waitingSince is since when the step has had tasks that no runner could
+	// hold; it is zero if there are none.
+	waitingSince time.Time
 }
 
 func (c *Cell) recordFullRunners(w *candidate) {
 	c.index.refresh()
-	w.occurrence.full[w.step] = fullRunners{
-		change: c.index.change,
-		queues: c.queues,
-	}
+	full := &w.occurrence.full[w.step]
+	full.change = c.index.change
+	full.queues = c.queues
 }
 
 // fullUpTo returns the change up to which no runner can hold a step's tasks; 0
@@ -237,7 +242,7 @@
 		}
 		run = max(run, t.run)
 	}
-	if change := c.fullUpTo(w); change > 0 && change == c.index.change {
+	if change := c.fullUpTo(w); change > 0 && change == c.index.change && !c.anyProbe(now, w) {
 		return
 	}
 	var bound []*runnerState
@@ -254,11 +259,14 @@
 	}
 	if len(bound) < len(members) {
 		c.recordFullRunners(w)
+		w.recordWaiting(now, true)
 		return
 	}
+	w.recordWaiting(now, false)
 	for i, t := range members {
 		t.run = run
 		t.checkpoint = members[0].checkpoint
 		c.start(now, bound[i], t)
+		bound[i].recordProbe(now)
 	}
 }
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -29,17 +29,21 @@
 			placeGangByScan(c, now, &w, tasks)
 			continue
 		}
+		waits := false
 		for _, t := range tasks {
 			if !t.pending(now) {
 				continue
 			}
 			s := chooseByScan(c, now, &w, t, nil)
 			if s == nil {
+				waits = true
 				break
 			}
 			c.start(now, s, t)
+			s.probedAt = now
 			w.starved = w.starved && w.job.placed < minRunning
 		}
+		waitByScan(now, &w, waits)
 	}
 }
 
@@ -63,6 +67,7 @@
 	for i, s := range bound {
 		s.release(members[i])
 	}
+	waitByScan(now, w, len(bound) < len(members))
 	if len(bound) < len(members) {
 		return
 	}
@@ -70,6 +75,17 @@
 		t.run = run
 		t.checkpoint = members[0].checkpoint
 		c.start(now, bound[i], t)
+		bound[i].probedAt = now
+	}
+}
+
+// waitByScan records since when a step has had tasks that no runner could hold.
+func waitByScan(now time.Time, w *candidate, waits bool) {
+	since := &w.occurrence.full[w.step].waitingSince
+	if !waits {
+		*since = time.Time{}
+	} else if since.IsZero() {
+		*since = now
 	}
 }
 
@@ -101,6 +117,39 @@
 			best, bestRating, bestMillis = s, r, millis
 		}
 	}
+	if best == nil {
+		best = chooseQuarantinedByScan(c, now, w, t)
+	}
+	return best
+}
+
+// chooseQuarantinedByScan chooses a quarantined runner for a task that waited
+// for long.
+func chooseQuarantinedByScan(c *Cell, now time.Time, w *candidate, t *task) *runnerState {
+	since := w.occurrence.full[w.step].waitingSince
+	if since.IsZero() || now.Sub(since) < maxQuarantineWait || !t.spec().LongRunning && w.job.placed > 0 {
+		return nil
+	}
+	interval := finiteProbeInterval
+	if t.spec().LongRunning {
+		interval = longRunningProbeInterval
+	}
+	var best *runnerState
+	for _, key := range slices.SortedFunc(maps.Keys(c.runners), compareKeys) {
+		s := c.runners[key]
+		probed := now.Sub(s.probedAt) < interval
+		if s.info.Service != c.service(w.job) || !s.available(now) || !s.quarantined(now) || probed || !c.fits(s, w, t) {
+			continue
+		}
+		switch {
+		case best == nil, t.avoids(best.key.ID) && !t.avoids(s.key.ID):
+			best = s
+		case !t.avoids(best.key.ID) && t.avoids(s.key.ID):
+		case s.quarantinedUntil.Before(best.quarantinedUntil):
+			best = s
+		default:
+		}
+	}
 	return best
 }
 
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -101,6 +101,8 @@
 	failedJobs       []string
 	quarantine       time.Duration
 	quarantinedUntil time.Time
+	// probedAt is when a task was last placed on the runner.
+	probedAt time.Time
 }
 
 // pendingFinish is the sequence number of a finished run and the change that
@@ -252,16 +254,23 @@
 	return s.free().ProcessorMillis + unused - s.bestEffortMillis
 }
 
-// schedulable reports whether tasks may be placed on the runner now. After its
-// quarantine, a runner gets one task at a time until one succeeds.
+// schedulable reports whether any task may be placed on the runner now.
 func (s *runnerState) schedulable(now time.Time) bool {
-	if !s.reported || s.agent == "" || s.info.Draining || s.info.Left || now.Sub(s.listedAt) > listingTTL {
-		return false
-	}
+	return s.available(now) && !s.quarantined(now)
+}
+
+// available reports whether the runner can start runs now.
+func (s *runnerState) available(now time.Time) bool {
+	return s.reported && s.agent != "" && !s.info.Draining && !s.info.Left && now.Sub(s.listedAt) <= listingTTL
+}
+
+// quarantined reports whether other runners are to be used instead. After its
+// quarantine, a runner gets one task at a time until one succeeds.
+func (s *runnerState) quarantined(now time.Time) bool {
 	if len(s.failedJobs) < quarantineThreshold && !s.stalled {
-		return true
+		return false
 	}
-	return now.After(s.quarantinedUntil) && s.finiteTasks() == 0
+	return !now.After(s.quarantinedUntil) || s.finiteTasks() > 0
 }
 
 // finiteTasks counts the tasks that finish by themselves.
@@ -284,8 +293,8 @@
 	return len(s.failedJobs) >= quarantineThreshold && s.startQuarantine(now)
 }
 
-// startQuarantine keeps tasks off the runner, each time for twice as long, up
-// to maxQuarantine. It reports whether a quarantine was started; one in force
+// startQuarantine keeps tasks off the runner while others can hold them, each
+// time for twice as long, up to maxQuarantine. It reports whether a quarantine was started; one in force
 // is not extended.
 func (s *runnerState) startQuarantine(now time.Time) bool {
 	if now.Before(s.quarantinedUntil) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -71,7 +71,10 @@
 guard observation-gaps-are-not-stalls pkg/scheduler/progress.go 's/elapsed > maxListingGap/false/' pkg/scheduler TestStalledRunnerIsQuarantined
 guard slow-runners-come-last pkg/scheduler/choosing.go 's/penaltySlow += 16/penaltySlow = 0/; s/penaltySlow      = 16/penaltySlow      = 0/' pkg/scheduler TestSlowRunnerIsChosenLast
 guard one-burst-counts-once pkg/scheduler/runner_state.go 's/if now.Before\(s.quarantinedUntil\)/if false/' pkg/scheduler TestBurstOfFailuresQuarantinesOnce
-guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) == 0/len(s.tasks) == 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
+guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) > 0/len(s.tasks) > 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
+guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
+guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.probedAt\) >= interval/(s.probedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
+guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
