Do not place a refused task on the same runner again and again

cause: a start that a runner refuses (it has less room than the owner knows of, or is unhealthy) released its task, which was placed on the same runner again at once, as that one was still the most idle, while another runner had room. Nothing ended that. ruled out: avoiding the runner for this task alone: the next task would start the same again. Stops that were requested before are no refusals.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -145,6 +145,7 @@
 	penaltyColocated = 4
 	penaltyFailed    = 8
 	penaltySlow      = 16
+	penaltyRefused   = 32
 )
 
 // rating rates a runner for a task; zero is best. Of runners with the same
@@ -197,6 +198,9 @@
 	if s.speed.slow(now) {
 		penalty += penaltySlow
 	}
+	if s.refusals.recent(now) {
+		penalty += penaltyRefused
+	}
 	if step.BestEffort && len(s.latencyCritical) > 0 || step.TargetMillis > 0 && len(s.bestEffort) > 0 {
 		penalty += penaltyColocated
 	}
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -313,6 +313,13 @@
 	sync := p.indexed.Sync(p.now, agent, true)
 	assert.DeepEqual(p.t, len(p.scanned.Sync(p.now, agent, true).Starts), len(sync.Starts))
 	for _, start := range sync.Starts {
+		if p.rnd.IntN(10) == 0 {
+			r.Finished = append(r.Finished, framer.FinishedRun{
+				RunRef: start.RunRef,
+				Reason: framer.FinishNeverStarted,
+			})
+			continue
+		}
 		r.Running = append(r.Running, framer.RunStatus{
 			RunRef: start.RunRef,
 		})
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -170,6 +170,7 @@
 		return
 	}
 	t.confirmed = true
+	s.refusals.accepted()
 	c.markBegun(t.job)
 }
 
@@ -256,6 +257,9 @@
 		c.runFailed(now, s, t)
 	case framer.FinishNeverStarted:
 		c.Counts.NeverStarted++
+		if !t.stopping {
+			s.refusals.add(now)
+		}
 		c.release(t)
 	default:
 		c.Counts.Stopped++
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -103,6 +103,7 @@
 	quarantinedUntil time.Time
 	// probedAt is when a task was last placed on the runner.
 	probedAt time.Time
+	refusals refusals
 }
 
 // pendingFinish is the sequence number of a finished run and the change that
@@ -261,7 +262,8 @@
 
 // available reports whether the runner can start runs now.
 func (s *runnerState) available(now time.Time) bool {
-	return s.reported && s.agent != "" && !s.info.Draining && !s.info.Left && now.Sub(s.listedAt) <= listingTTL
+	return s.reported && s.agent != "" && !s.info.Draining && !s.info.Left &&
+		now.Sub(s.listedAt) <= listingTTL && !s.refusals.backingOff(now)
 }
 
 // quarantined reports whether other runners are to be used instead. After its
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -75,6 +75,8 @@
 guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.probedAt\) >= interval/(s.probedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
+guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/s.refusals.add\(now\)/_ = now/' pkg/scheduler TestRefusedStart
+guard refusals-are-forgotten pkg/scheduler/refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
