The reserve does not exclude a long-running task that fits twice

cause: tasks of queues that are not the most urgent must leave 6 % of a runner's processors free. A long-running task that needs less found no runner although it fit two or three times on each, for as long as the service was that full. ruled out: no reserve for long-running tasks at all, which hold what they take for hours; a smaller reserve for finite tasks, which end and are promised a start only while under half of the capacity is in use, when a runner has more than the reserve free. change: for a long-running task the reserve is at most what the task needs, so that one which fits twice by its processors starts. Long-running tasks of less than 6 % of a runner can use up to all but their own size of the reserve.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -10,7 +10,8 @@
 )
 
 // reservePercent is the percentage of a runner's processors that only the most
-// urgent queue may use.
+// urgent queue may use. For a long-running task, the reserve is at most what the
+// task needs: one that fits twice is to run however full the service is.
 const reservePercent = 6
 
 // chooseRunner returns the best runner for a task, or nil. gang lists the
@@ -113,8 +114,12 @@
 	}
 	needs := step.allocation()
 	if w.urgency > 0 && !step.BestEffort {
+		reserve := s.info.ProcessorMillis * reservePercent / 100
+		if step.LongRunning {
+			reserve = min(reserve, needs.ProcessorMillis)
+		}
 		needs = publisher.Add(needs, publisher.Resources{
-			ProcessorMillis: s.info.ProcessorMillis * reservePercent / 100,
+			ProcessorMillis: reserve,
 		})
 	}
 	if !publisher.Within(needs, s.free()) {
