Accept a runner whose start time is lower than that of its predecessor

cause: an agent ignored each heartbeat with a start time below the known one. If the time of day was set back between two incarnations, or a heartbeat with a start time in the future was read once, the runner that is there was ignored for good, and its capacity too. ruled out: acceptance after a silence of the known incarnation: a late heartbeat of a crashed one would then be accepted while the known one is only cut off. change: a heartbeat with a lower start time is accepted if an incarnation with just that start time answered a call that was meant for the known one.

--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -77,6 +77,9 @@
 	runner            framer.RunnerInfo
 	known             bool
 	heartbeatSequence int64
+	// answeredBy is the start time of another incarnation than the known one
+	// that answered a call to it, or 0 if none did.
+	answeredBy int64
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
 	// none yet.
 	clockMillis int64
@@ -143,10 +146,11 @@
 
 // Heartbeat processes a heartbeat of the runner and reports whether it was
 // accepted. A heartbeat of an earlier incarnation, or one that arrives out of
-// order, is ignored.
+// order, is ignored. An incarnation that answers calls is not an earlier one,
+// even if it has the lower start time: the time of day may have been set back.
 func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
 	key := b.Info.Key
-	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis {
+	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis && key.StartedAtMillis != c.answeredBy {
 		return false
 	}
 	sameIncarnation := c.known && key == c.runner.Key
@@ -184,6 +188,7 @@
 		fences = nil
 	}
 	c.Counts.RunnerIncarnations++
+	c.answeredBy = 0
 	c.clockMillis = 0
 	c.listedAt = time.Time{}
 	c.ackedSequence = 0
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -289,6 +289,47 @@
 	})
 }
 
+// The time of day may be set back between two incarnations of a runner. The
+// later one must not be ignored for good because its start time is lower.
+func TestNewRunnerIncarnationWithLowerStartTime(t *testing.T) {
+	const lower = 4000
+	restarted := func(t *testing.T) *coreHarness {
+		h := newCoreHarness(t)
+		h.answerRenewal(90_000, Listing{})
+		h.advance(renewBackoff)
+		return h
+	}
+	current := func(h *coreHarness) int64 {
+		runner, _ := h.core.Runner()
+		return runner.Key.StartedAtMillis
+	}
+	t.Run("is ignored until it answers a call", func(t *testing.T) {
+		h := restarted(t)
+		h.heartbeat("i-1", lower, false)
+		assert.Equal(t, current(h), int64(5000))
+	})
+	t.Run("is accepted once it answers a call", func(t *testing.T) {
+		h := restarted(t)
+		h.key.StartedAtMillis = lower
+		h.answerRenewal(10, Listing{})
+		h.heartbeat("i-1", lower, false)
+		assert.Equal(t, current(h), int64(lower))
+		h.advance(renewBackoff)
+		h.answerRenewal(200, Listing{})
+		h.advance(reportInterval)
+		last := h.reports[len(h.reports)-1]
+		assert.Equal(t, last.Runner.Key, h.key)
+		assert.Assert(t, last.Listed)
+	})
+	t.Run("is no proof of any other one", func(t *testing.T) {
+		h := restarted(t)
+		h.key.StartedAtMillis = lower
+		h.answerRenewal(10, Listing{})
+		h.heartbeat("i-1", lower+1, false)
+		assert.Equal(t, current(h), int64(5000))
+	})
+}
+
 func TestFinishedRunsAreReportedUntilAcknowledged(t *testing.T) {
 	finished := framer.FinishedRun{
 		RunRef:   ref("a.0.0.0"),
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -69,6 +69,7 @@
 	}
 	if l.StartedAtMillis != 0 && l.StartedAtMillis != c.runner.Key.StartedAtMillis {
 		// Another incarnation responded; its own heartbeat will follow.
+		c.answeredBy = l.StartedAtMillis
 		c.nextRenewal = now.Add(renewBackoff)
 		return
 	}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -78,6 +78,7 @@
 guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/s.refusals.add\(now\)/_ = now/' pkg/scheduler TestRefusedStart
 guard refusals-are-forgotten pkg/scheduler/refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
+guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
