--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -10,13 +10,22 @@
 )
 
 // reservePercent is the percentage of a runner's processors that only the most
-// urgent queue may use.
+// urgent queue may use. For a long-running task, the reserve is at most what the
+// task needs: one that fits twice is to run however full the service is.
 const reservePercent = 6
 
 // chooseRunner returns the best runner for a task, or nil. gang lists the
 // runners that were chosen for earlier members of the task's gang. A rack-local
 // gang prefers runners with the labels of the first one, which name its rack.
 func (c *Cell) chooseRunner(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
+	if s := c.chooseSchedulable(now, w, t, gang); s != nil {
+		return s
+	}
+	return c.chooseQuarantined(now, w, t)
+}
+
+// chooseSchedulable is like chooseRunner, without quarantined runners.
+func (c *Cell) chooseSchedulable(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
 	c.index.refresh()
 	service := c.index.service(c.service(w.job))
 	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang {
@@ -45,7 +54,7 @@
 	return best
 }
 
-// chooseImproved is like chooseRunner, for a step whose tasks no runner could
+// chooseImproved is like chooseSchedulable, for a step whose tasks no runner could
 // hold at a change; only the runners that improved since then are considered.
 func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
 	order := v.orderFor(t.spec())
@@ -105,8 +114,12 @@
 	}
 	needs := step.allocation()
 	if w.urgency > 0 && !step.BestEffort {
+		reserve := s.info.ProcessorMillis * reservePercent / 100
+		if step.LongRunning {
+			reserve = min(reserve, needs.ProcessorMillis)
+		}
 		needs = publisher.Add(needs, publisher.Resources{
-			ProcessorMillis: s.info.ProcessorMillis * reservePercent / 100,
+			ProcessorMillis: reserve,
 		})
 	}
 	if !publisher.Within(needs, s.free()) {
@@ -137,6 +150,7 @@
 	penaltyColocated = 4
 	penaltyFailed    = 8
 	penaltySlow      = 16
+	penaltyRefused   = 32
 )
 
 // rating rates a runner for a task; zero is best. Of runners with the same
@@ -189,6 +203,9 @@
 	if s.speed.slow(now) {
 		penalty += penaltySlow
 	}
+	if s.startRefusals.recent(now) {
+		penalty += penaltyRefused
+	}
 	if step.BestEffort && len(s.latencyCritical) > 0 || step.TargetMillis > 0 && len(s.bestEffort) > 0 {
 		penalty += penaltyColocated
 	}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -189,6 +189,7 @@
 		return
 	}
 	t.confirmed = true
+	s.startRefusals.accepted()
 	c.markBegun(t.job)
 }
 
@@ -275,6 +276,9 @@
 		c.runFailed(now, s, t)
 	case framer.FinishNeverStarted:
 		c.Counts.NeverStarted++
+		if !t.stopping {
+			s.startRefusals.add(now)
+		}
 		c.release(t)
 	default:
 		c.Counts.Stopped++
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -71,7 +71,14 @@
 guard observation-gaps-are-not-stalls pkg/scheduler/progress.go 's/elapsed > maxListingGap/false/' pkg/scheduler TestStalledRunnerIsQuarantined
 guard slow-runners-come-last pkg/scheduler/choosing.go 's/penaltySlow += 16/penaltySlow = 0/; s/penaltySlow      = 16/penaltySlow      = 0/' pkg/scheduler TestSlowRunnerIsChosenLast
 guard one-burst-counts-once pkg/scheduler/runner_state.go 's/if now.Before\(s.quarantinedUntil\)/if false/' pkg/scheduler TestBurstOfFailuresQuarantinesOnce
-guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) == 0/len(s.tasks) == 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
+guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) > 0/len(s.tasks) > 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
+guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
+guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.probedAt\) >= interval/(s.probedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
+guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
+guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/s.startRefusals.add\(now\)/_ = now/' pkg/scheduler TestRefusedStart
+guard refusals-are-forgotten pkg/scheduler/start_refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
+guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
+guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/^\t\tlease = longest/\t\tlease = time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
@@ -80,7 +87,7 @@
 guard delayed-calls-grant-leases pkg/scheduler/cell.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
 guard higher-epoch-ends-the-wait pkg/scheduler/report.go 's/r.ListedEpoch < s.fencedFrom/true/' pkg/scheduler TestLeaseOfRestartedRunner
 guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fencedFrom//' pkg/scheduler TestLeaseOfRestartedRunner
-guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \|\| s.unanswered \|\|/ ||/' pkg/scheduler TestUnansweringRunnerGetsNoTask
+guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \&\& !s.unanswered \&\&/ \&\&/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
