Name the reason why a runner cannot take a task

cause: schedulable and fits answered yes or no, so no log line could say which of their conditions kept a task waiting. ruled out: a second function with the same conditions for the log; two copies would come apart. change: the conditions return a refusal, and schedulable and fits compare it with accepted.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -94,14 +94,15 @@
 	return step.BestEffort && !w.starved && 2*s.idleMillis() < step.Needs.ProcessorMillis
 }
 
-// fits reports whether a task may be placed on a runner.
-func (c *Cell) fits(s *runnerState, w *candidate, t *task) bool {
+// misfit returns why a task may not be placed on a schedulable runner, or
+// accepted.
+func (c *Cell) misfit(s *runnerState, w *candidate, t *task) refusal {
 	step := t.spec()
 	if step.Requires != "" && !slices.Contains(s.info.Labels, step.Requires) {
-		return false
+		return refusedWithoutLabel
 	}
 	if step.AntiAffinity > 0 && siblings(s, t) >= step.AntiAffinity {
-		return false
+		return refusedAntiAffinity
 	}
 	needs := step.allocation()
 	if w.urgency > 0 && !step.BestEffort {
@@ -109,13 +110,19 @@
 			ProcessorMillis: s.info.ProcessorMillis * reservePercent / 100,
 		})
 	}
-	if !publisher.Within(needs, s.free()) {
-		return false
+	if free := s.free(); !publisher.Within(needs, free) {
+		return shortage(step.allocation(), free)
 	}
 	if !step.BestEffort || w.starved {
-		return true
+		return accepted
+	}
+	if w.tooBusy(s) {
+		return refusedBusy
+	}
+	if !c.interference.tolerates(s.latencyCritical, s.bestEffortShares(), step.Image, s.share(step)) {
+		return refusedNotTolerated
 	}
-	return !w.tooBusy(s) && c.interference.tolerates(s.latencyCritical, s.bestEffortShares(), step.Image, s.share(step))
+	return accepted
 }
 
 // siblings returns the number of tasks of the same step and occurrence on a
--- /dev/null
+++ b/pkg/scheduler/refusal.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+)
+
+// refusal is the reason why a runner cannot take a task.
+type refusal int
+
+// The refusals, in the order in which they are checked. A runner is schedulable
+// if none of the first group applies.
+const (
+	accepted refusal = iota + 1
+
+	refusedNoLink
+	refusedDraining
+	refusedNoListing
+	refusedQuarantined
+	refusedStalled
+	// refusedProbation: the quarantine is over, and one task is tried.
+	refusedProbation
+
+	refusedWithoutLabel
+	refusedAntiAffinity
+	refusedNoProcessors
+	refusedNoMemory
+	refusedNoAccelerators
+	// refusedReserved: what is free is reserved for the most urgent queue.
+	refusedReserved
+	// refusedBusy: the runner has too few idle processors for a best-effort
+	// task.
+	refusedBusy
+	// refusedNotTolerated: a best-effort task would slow latency-critical ones.
+	refusedNotTolerated
+
+	refusalCount
+)
+
+// refusalNames are the names of the refusals in logs.
+var refusalNames = [refusalCount]string{
+	accepted:              "accepting",
+	refusedNoLink:         "no-link",
+	refusedDraining:       "draining",
+	refusedNoListing:      "no-listing",
+	refusedQuarantined:    "quarantined",
+	refusedStalled:        "stalled",
+	refusedProbation:      "on-probation",
+	refusedWithoutLabel:   "without-label",
+	refusedAntiAffinity:   "anti-affinity",
+	refusedNoProcessors:   "no-processors",
+	refusedNoMemory:       "no-memory",
+	refusedNoAccelerators: "no-accelerators",
+	refusedReserved:       "reserved",
+	refusedBusy:           "busy",
+	refusedNotTolerated:   "not-tolerated",
+}
+
+// schedulable reports whether tasks may be placed on the runner now.
+func (s *runnerState) schedulable(now time.Time) bool {
+	return s.refusal(now) == accepted
+}
+
+// fits reports whether a task may be placed on a schedulable runner.
+func (c *Cell) fits(s *runnerState, w *candidate, t *task) bool {
+	return c.misfit(s, w, t) == accepted
+}
+
+// quarantineRefusal returns which refusal applies to a runner that is
+// quarantined or was so until its next success.
+func (s *runnerState) quarantineRefusal(now time.Time) refusal {
+	switch {
+	case now.After(s.quarantinedUntil):
+		return refusedProbation
+	case s.stalled:
+		return refusedStalled
+	default:
+		return refusedQuarantined
+	}
+}
+
+// shortage returns which resource a runner lacks for a task that does not fit.
+func shortage(needs, free publisher.Resources) refusal {
+	switch {
+	case needs.ProcessorMillis > free.ProcessorMillis:
+		return refusedNoProcessors
+	case needs.MemoryBytes > free.MemoryBytes:
+		return refusedNoMemory
+	case needs.Accelerators > free.Accelerators:
+		return refusedNoAccelerators
+	default:
+		return refusedReserved
+	}
+}
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -252,16 +252,23 @@
 	return s.free().ProcessorMillis + unused - s.bestEffortMillis
 }
 
-// schedulable reports whether tasks may be placed on the runner now. After its
-// quarantine, a runner gets one task at a time until one succeeds.
-func (s *runnerState) schedulable(now time.Time) bool {
-	if !s.reported || s.agent == "" || s.info.Draining || s.info.Left || now.Sub(s.listedAt) > listingTTL {
-		return false
-	}
-	if len(s.failedJobs) < quarantineThreshold && !s.stalled {
-		return true
+// refusal returns why no tasks may be placed on the runner now, or accepted.
+// After its quarantine, a runner gets one task at a time until one succeeds.
+func (s *runnerState) refusal(now time.Time) refusal {
+	switch {
+	case !s.reported || s.agent == "":
+		return refusedNoLink
+	case s.info.Draining || s.info.Left:
+		return refusedDraining
+	case now.Sub(s.listedAt) > listingTTL:
+		return refusedNoListing
+	case len(s.failedJobs) < quarantineThreshold && !s.stalled:
+		return accepted
+	case now.After(s.quarantinedUntil) && s.finiteTasks() == 0:
+		return accepted
+	default:
+		return s.quarantineRefusal(now)
 	}
-	return now.After(s.quarantinedUntil) && s.finiteTasks() == 0
 }
 
 // finiteTasks counts the tasks that finish by themselves.
