Log and count why tasks wait

cause: no line said why a task that should run did not, so a wait for a lease, for a quarantine and for a wrong belief of the owner looked alike. ruled out: events that tell of the begin and the end of a wait; an event that is missing is one of the faults to be seen. Looking through the index of runners; it may be what is at fault. change: the owner looks at all tasks in turn, at most about 2,000 each 50 ms, and logs "task waits" with the cause once one has waited 2 s: again for another cause that lasts, or after 10 s, and at most 10 lines a second. The entry counts the tasks by cause and gives the age of the oldest one (entry.waits). A task records when it was last listed, so that one that disappears from the listings without an end is seen. before / after: go test ./pkg/scheduler -bench /runners=1000$, four runs in turn. Tick, all busy: 21.5, 20.9, 28.7, 27.9 and 26.7, 25.9, 21.7, 26.3 ns. Second of an owner: 129, 87, 107, 100 and 107, 113, 95, 119 ms. Placing: 113, 96, 123, 120 and 94, 103, 86, 117 us. Report: 10.5, 11.3, 10.6, 11.0 and 9.7, 11.7, 11.2, 13.2 us. Takeover: 32, 26, 31, 32 and 30, 41, 34, 33 ms; 14.9 and 16.3 MB.

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -110,6 +110,7 @@
 	Jobs   int              `json:"jobs"`
 	Agents int              `json:"agents"`
 	Cell   scheduler.Counts `json:"cell"`
+	Waits  scheduler.Waits  `json:"waits"`
 	// Refused counts submissions and cancellations that had no effect, Unknown
 	// those with an unknown outcome.
 	Refused int64            `json:"refused"`
@@ -321,6 +322,7 @@
 	}
 	if e.owner.cell != nil {
 		m.Cell = e.owner.cell.Counts
+		m.Waits = e.owner.cell.Waits()
 	}
 	e.metrics.Store(m)
 }
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -16,7 +16,8 @@
 	// placementInterval is the longest time between two placements; without a
 	// change, only the passage of time lets another task start.
 	placementInterval = 50 * time.Millisecond
-	// expiryInterval is the time between two checks for expired leases.
+	// expiryInterval is the time between two checks for expired leases, and
+	// between two parts of a sweep over the tasks that wait.
 	expiryInterval = 50 * time.Millisecond
 	// leaseRenewals is how many times a runner's lease is renewed while it lasts.
 	leaseRenewals = 8
@@ -62,6 +63,7 @@
 	// another.
 	interference *interference
 	rejections   *rejections
+	waits        *waitMonitor
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -105,6 +107,7 @@
 		changed:      map[*job]struct{}{},
 		interference: models,
 		rejections:   newRejections(models),
+		waits:        newWaitMonitor(),
 		placementDue: true,
 	}
 }
@@ -316,6 +319,7 @@
 	if now.Sub(c.expiryCheckedAt) >= expiryInterval {
 		c.expiryCheckedAt = now
 		c.expireLeases(now)
+		c.watchWaits(now)
 	}
 	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -205,6 +205,12 @@
 	if j.placed == 0 && now.Sub(j.idleSince) > maxIdleWait {
 		j.waitedLong = true
 	}
+	return c.keepsRunning(j)
+}
+
+// keepsRunning reports whether a job that has waited for long has fewer than
+// minRunning tasks running while there is free capacity.
+func (c *Cell) keepsRunning(j *job) bool {
 	return j.waitedLong && j.placed < minRunning && c.mostlyIdle(c.service(j))
 }
 
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -15,8 +15,8 @@
 	accepted refusal = iota + 1
 
 	refusedNoLink
-	refusedDraining
 	refusedNoListing
+	refusedDraining
 	refusedQuarantined
 	refusedStalled
 	// refusedProbation: the quarantine is over, and one task is tried.
@@ -42,8 +42,8 @@
 var refusalNames = [refusalCount]string{
 	accepted:              "accepting",
 	refusedNoLink:         "no-link",
-	refusedDraining:       "draining",
 	refusedNoListing:      "no-listing",
+	refusedDraining:       "draining",
 	refusedQuarantined:    "quarantined",
 	refusedStalled:        "stalled",
 	refusedProbation:      "on-probation",
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -197,6 +197,7 @@
 	}
 	c.confirm(s, status.RunRef)
 	t.listed = true
+	t.listedAt = s.listedAt
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -258,10 +258,10 @@
 	switch {
 	case !s.reported || s.agent == "":
 		return refusedNoLink
-	case s.info.Draining || s.info.Left:
-		return refusedDraining
 	case now.Sub(s.listedAt) > listingTTL:
 		return refusedNoListing
+	case s.info.Draining || s.info.Left:
+		return refusedDraining
 	case len(s.failedJobs) < quarantineThreshold && !s.stalled:
 		return accepted
 	case now.After(s.quarantinedUntil) && s.finiteTasks() == 0:
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -72,6 +72,11 @@
 	confirmed bool
 	// listed is set once this incarnation of the runner has listed the run.
 	listed bool
+	// listedAt is when it last did.
+	listedAt time.Time
+	// waitingSince is since when the task should run and does not, to within
+	// waitSweepInterval; it is zero while the task runs.
+	waitingSince time.Time
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
--- /dev/null
+++ b/pkg/scheduler/waiting_test.go
@@ -0,0 +1,605 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+// waitLine is the content of a line about tasks that wait.
+type waitLine map[string]any
+
+// waitLines collects the lines about tasks that wait.
+func (h *cellHarness) waitLines() *[]waitLine {
+	lines := &[]waitLine{}
+	h.cell.cfg.LogEvent = func(message string, pairs ...any) {
+		if message != "task waits" {
+			return
+		}
+		line := waitLine{}
+		for i := 0; i < len(pairs); i += 2 {
+			line[pairs[i].(string)] = pairs[i+1]
+		}
+		*lines = append(*lines, line)
+	}
+	return lines
+}
+
+// startAll runs everything that waits.
+func (h *cellHarness) startAll() {
+	h.tickUntilIdle()
+	h.acceptAllStarts()
+}
+
+func longRunning(step Step) Step {
+	step.LongRunning = true
+	return step
+}
+
+// Each cause of a wait is named, with the runners that refuse the task by why
+// they do.
+func TestWaitCauses(t *testing.T) {
+	small := newStep(1, 1000)
+	for _, tc := range []struct {
+		name string
+		// set makes the task of job "w" wait.
+		set   func(h *cellHarness)
+		cause string
+		pairs waitLine
+	}{
+		{
+			name: "all processors are allocated",
+			set: func(h *cellHarness) {
+				h.add("f", "checks", longRunning(newStep(1, 32_000)))
+				h.startAll()
+				h.add("w", "checks", small)
+			},
+			cause: "no-room",
+			pairs: waitLine{
+				"no-processors": 1,
+				"service":       "polls",
+			},
+		},
+		{
+			name: "not enough memory",
+			set: func(h *cellHarness) {
+				step := newStep(1, 1000)
+				step.Needs.MemoryBytes = 129 * gigabyte
+				h.add("w", "checks", step)
+			},
+			cause: "no-room",
+			pairs: waitLine{
+				"no-memory": 1,
+			},
+		},
+		{
+			name: "not enough accelerators",
+			set: func(h *cellHarness) {
+				step := newStep(1, 1000)
+				step.Needs.Accelerators = 1
+				h.add("w", "checks", step)
+			},
+			cause: "no-room",
+			pairs: waitLine{
+				"no-accelerators": 1,
+			},
+		},
+		{
+			name:  "the rest is reserved for another queue",
+			set:   func(h *cellHarness) { h.add("w", "reviews", newStep(1, 32_000)) },
+			cause: "no-room",
+			pairs: waitLine{
+				"reserved": 1,
+			},
+		},
+		{
+			name: "no runner has the label",
+			set: func(h *cellHarness) {
+				step := newStep(1, 1000)
+				step.Requires = "gpu"
+				h.add("w", "checks", step)
+			},
+			cause: "no-runner-with-label",
+			pairs: waitLine{
+				"without-label": 1,
+			},
+		},
+		{
+			name: "anti-affinity",
+			set: func(h *cellHarness) {
+				step := longRunning(newStep(2, 1000))
+				step.AntiAffinity = 1
+				h.add("w", "checks", step)
+				h.startAll()
+			},
+			cause: "anti-affinity",
+			pairs: waitLine{
+				"anti-affinity": 1,
+				"waiting":       1,
+				"oldest":        "w.0.0.1",
+			},
+		},
+		{
+			name: "best-effort task, busy runner",
+			set: func(h *cellHarness) {
+				h.add("f", "checks", longRunning(newStep(1, 32_000)))
+				h.startAll()
+				step := newStep(1, 1000)
+				step.BestEffort = true
+				h.add("w", "reviews", step)
+			},
+			cause: "interference",
+			pairs: waitLine{
+				"busy": 1,
+			},
+		},
+		{
+			name: "best-effort task, not tolerated",
+			set: func(h *cellHarness) {
+				h.learnPair("voice", "heavy", 20)
+				step := latencyCriticalStep(1, "voice", false)
+				step.Needs.ProcessorMillis = 24_000
+				h.add("f", "checks", step)
+				h.startAll()
+				step = newStep(1, 4000)
+				step.BestEffort = true
+				step.Image = "heavy"
+				h.add("w", "reviews", step)
+			},
+			cause: "interference",
+			pairs: waitLine{
+				"not-tolerated": 1,
+			},
+		},
+		{
+			name: "the service has no runner",
+			set: func(h *cellHarness) {
+				h.cell.SetQueues(&Queues{
+					Version: 2,
+					List: []Queue{{
+						Name:    "checks",
+						Service: "moved",
+					}},
+				})
+				h.add("w", "checks", small)
+			},
+			cause: "no-runner",
+			pairs: waitLine{
+				"service": "moved",
+			},
+		},
+		{
+			name: "the runner drains",
+			set: func(h *cellHarness) {
+				h.runners["a"].Runner.Draining = true
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"draining": 1,
+			},
+		},
+		{
+			name: "no link to the agent",
+			set: func(h *cellHarness) {
+				h.cell.AgentDisconnected("a")
+				delete(h.runners, "a")
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"no-link": 1,
+			},
+		},
+		{
+			name: "the runner lists nothing",
+			set: func(h *cellHarness) {
+				delete(h.runners, "a")
+				h.now = h.now.Add(listingTTL)
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"no-listing": 1,
+			},
+		},
+		{
+			name: "the runner is quarantined",
+			set: func(h *cellHarness) {
+				s := h.cell.agents["a"]
+				s.recordFailure(h.now, "x")
+				s.recordFailure(h.now, "y")
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"quarantined": 1,
+			},
+		},
+		{
+			name: "the runner is stalled",
+			set: func(h *cellHarness) {
+				s := h.cell.agents["a"]
+				s.stalled = true
+				s.startQuarantine(h.now)
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"stalled": 1,
+			},
+		},
+		{
+			name: "the runner tries another task after its quarantine",
+			set: func(h *cellHarness) {
+				h.add("f", "checks", newStep(1, 1000))
+				h.startAll()
+				h.cell.agents["a"].failedJobs = []string{"x", "y"}
+				h.add("w", "checks", small)
+			},
+			cause: "no-schedulable-runner",
+			pairs: waitLine{
+				"on-probation": 1,
+			},
+		},
+		{
+			name: "the agent's link is lost",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", longRunning(small))
+				h.startAll()
+				h.cell.AgentDisconnected("a")
+				delete(h.runners, "a")
+			},
+			cause: "lease-of-lost-runner",
+			pairs: waitLine{
+				"runner": "i-a",
+				"run":    1,
+			},
+		},
+		{
+			name: "the lost runner's last listing is old",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", longRunning(small))
+				h.startAll()
+				delete(h.runners, "a")
+			},
+			cause: "lease-of-lost-runner",
+			pairs: waitLine{
+				"runner": "i-a",
+			},
+		},
+		{
+			name: "a stop takes long",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", longRunning(small))
+				h.startAll()
+				h.cell.stop(h.cell.jobs["w"].tasks()[0])
+			},
+			cause: "stopping",
+			pairs: waitLine{
+				"runner": "i-a",
+			},
+		},
+		{
+			name: "the agent is not asked to start the run",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", small)
+				h.tickUntilIdle()
+				h.cell.jobs["w"].tasks()[0].committedRun = 0
+			},
+			cause: "commit-not-confirmed",
+		},
+		{
+			name: "the runner does not accept the run",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", small)
+				h.tickUntilIdle()
+			},
+			cause: "start-not-accepted",
+			pairs: waitLine{
+				"runner": "i-a",
+			},
+		},
+		{
+			name: "the runner does not list the run that it accepted",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", small)
+				h.tickUntilIdle()
+				h.cell.Sync(h.now, "a", true)
+				h.runners["a"].Started = []framer.RunRef{runRef("w.0.0.0", 1)}
+			},
+			cause: "placed-but-not-listed",
+		},
+		{
+			name: "the runner no longer lists the run",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", longRunning(small))
+				h.startAll()
+				h.runners["a"].Running = nil
+			},
+			cause: "no-longer-listed",
+		},
+		{
+			name: "some members of a gang fit",
+			set: func(h *cellHarness) {
+				step := newStep(2, 20_000)
+				step.Gang = true
+				h.add("w", "checks", step)
+			},
+			cause: "no-room-for-gang",
+			pairs: waitLine{
+				"accepting": 1,
+				"waiting":   2,
+			},
+		},
+		{
+			name: "a member of the gang still has a runner",
+			set: func(h *cellHarness) {
+				step := longRunning(newStep(2, 1000))
+				step.Gang = true
+				h.add("w", "checks", step)
+				h.startAll()
+				h.finish("a", runRef("w.0.0.1", 1), framer.FinishStopped)
+			},
+			cause: "gang-incomplete",
+			pairs: waitLine{
+				"oldest": "w.0.0.1",
+			},
+		},
+		{
+			name: "the job is missing where placement looks",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", small)
+				h.cell.jobs["w"].unplaced = false
+				h.cell.unplaced = nil
+			},
+			cause: "not-queued",
+		},
+		{
+			name: "a wrong record that the runners are full",
+			set: func(h *cellHarness) {
+				h.add("w", "checks", small)
+				h.cell.index.refresh()
+				h.cell.jobs["w"].occurrences[0].full[0] = fullRunners{
+					change: h.cell.index.change,
+					queues: h.cell.queues,
+				}
+			},
+			cause: "not-chosen",
+			pairs: waitLine{
+				"accepting": 1,
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newCellHarness(t, "a")
+			lines := h.waitLines()
+			tc.set(h)
+			h.advance(longWait - waitSweepInterval)
+			assert.Equal(t, len(*lines), 0)
+			h.advance(3 * time.Second)
+			found := waitLine{}
+			for _, line := range *lines {
+				if line["job"] == "w" && line["cause"] == tc.cause {
+					found = line
+				}
+			}
+			assert.Equal(t, found["cause"], tc.cause, "%v", *lines)
+			for key, value := range tc.pairs {
+				assert.Equal(t, found[key], value, "%s of %v", key, found)
+			}
+			waited, _ := found["waited-millis"].(int64)
+			assert.Assert(t, waited >= longWait.Milliseconds() && waited < 5000, "%v", found)
+		})
+	}
+}
+
+// A task that waits since nothing is placed is told from one that was not chosen.
+func TestWaitWhilePlacementPauses(t *testing.T) {
+	h := newCellHarness(t, "a")
+	lines := h.waitLines()
+	h.add("w", "checks", newStep(1, 1000))
+	for range 40 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.report("a")
+		h.cell.Tick(h.now, false)
+	}
+	assert.Equal(t, len(*lines), 1)
+	assert.Equal(t, (*lines)[0]["cause"], "placement-paused")
+}
+
+// The line on a run of a lost runner gives the time until its lease ends, and
+// the run that is placed then is not logged.
+func TestWaitForLeaseOfLostRunner(t *testing.T) {
+	h := newCellHarness(t, "a", "b")
+	lines := h.waitLines()
+	h.add("w", "checks", longRunning(newStep(1, 1000)))
+	h.startAll()
+	s := h.cell.jobs["w"].tasks()[0].runner
+	agent := s.agent
+	h.cell.AgentDisconnected(agent)
+	delete(h.runners, agent)
+	h.advance(4 * time.Second)
+	assert.Equal(t, len(*lines), 1, "%v", *lines)
+	line := (*lines)[0]
+	left := line["lease-end-millis"].(int64)
+	assert.Assert(t, left > 0 && left < testLease.Milliseconds(), "%v", line)
+	assert.Equal(t, h.cell.Waits().Tasks, int64(1))
+	for range 80 {
+		h.advance(100 * time.Millisecond)
+		h.acceptAllStarts()
+	}
+	assert.Equal(t, len(*lines), 1, "%v", *lines)
+	assert.Equal(t, h.cell.Waits().Tasks, int64(0))
+}
+
+// A line is repeated only after waitLogInterval, unless the cause changes, and
+// steps that do not wait any more are forgotten.
+func TestWaitLinesAreBounded(t *testing.T) {
+	h := newCellHarness(t, "a")
+	lines := h.waitLines()
+	h.add("f", "checks", longRunning(newStep(1, 32_000)))
+	h.startAll()
+	h.add("w", "checks", newStep(3, 1000))
+	h.advance(waitLogInterval)
+	assert.Equal(t, len(*lines), 1)
+	assert.Equal(t, (*lines)[0]["waiting"], 3)
+	h.advance(waitLogInterval)
+	assert.Equal(t, len(*lines), 2)
+	assert.Equal(t, (*lines)[1]["cause"], "no-room")
+	h.runners["a"].Runner.Draining = true
+	h.advance(2 * reexamineInterval)
+	causes := map[any]int{}
+	for _, line := range (*lines)[2:] {
+		causes[line["cause"]]++
+	}
+	assert.Equal(t, causes["no-schedulable-runner"], 1, "%v", causes)
+	h.cell.Cancel(h.now, "w")
+	h.cell.Cancel(h.now, "f")
+	h.advance(2 * waitSweepInterval)
+	assert.Equal(t, len(h.cell.waits.steps), 0)
+}
+
+// Waiting steps in great numbers are logged a few a second, in turn, and all of
+// them are counted.
+func TestManyWaitingSteps(t *testing.T) {
+	const jobs = 50
+	h := newCellHarness(t, "a")
+	lines := h.waitLines()
+	h.add("f", "checks", longRunning(newStep(1, 32_000)))
+	h.startAll()
+	for i := range jobs {
+		h.add(fmt.Sprintf("w-%02d", i), "checks", newStep(2, 1000))
+	}
+	h.advance(longWait + 2*waitSweepInterval)
+	assert.Assert(t, len(*lines) <= 2*waitLinesPerSecond, "%d lines", len(*lines))
+	waits := h.cell.Waits()
+	assert.Equal(t, waits.Tasks, int64(2*jobs))
+	assert.Equal(t, waits.ByCause[causeNoRoom], int64(2*jobs))
+	assert.Assert(t, waits.LinesSuppressed > 0)
+	h.advance(jobs / waitLinesPerSecond * time.Second)
+	logged := map[any]bool{}
+	for _, line := range *lines {
+		logged[line["job"]] = true
+	}
+	assert.Equal(t, len(logged), jobs)
+	assert.Assert(t, (*lines)[len(*lines)-1]["suppressed"].(int64) > 0)
+}
+
+// keepListing makes the last listings of all runners count as new for an hour.
+func (f *fleet) keepListing() {
+	for _, s := range f.cell.runners {
+		s.listedAt = f.now.Add(time.Hour)
+		for t := range s.tasks {
+			t.listedAt = s.listedAt
+		}
+	}
+}
+
+// The examination of a thousand runners for many waiting steps is spread over
+// several sweeps.
+func TestFewRunnersAreExaminedPerSweep(t *testing.T) {
+	const runners, jobs = 1000, 20
+	f := newFleet(runners)
+	f.fill(jobs)
+	f.keepListing()
+	examined := map[*stepWait]time.Time{}
+	perSweep := map[uint64]int{}
+	examiningSweeps := uint64(jobs * runners / runnersPerSweep)
+	firstSweep := uint64(longWait/waitSweepInterval) + 1
+	for f.cell.waits.sweep <= firstSweep+examiningSweeps {
+		f.now = f.now.Add(expiryInterval)
+		f.cell.watchWaits(f.now)
+		for _, w := range f.cell.waits.steps {
+			if !w.examinedAt.Equal(examined[w]) {
+				examined[w] = w.examinedAt
+				perSweep[f.cell.waits.sweep]++
+			}
+		}
+	}
+	for sweep, n := range perSweep {
+		assert.Assert(t, n <= runnersPerSweep/runners, "%d in sweep %d", n, sweep)
+	}
+	assert.Equal(t, len(examined), jobs)
+}
+
+// A tick that logs nothing allocates nothing, whether tasks wait or not.
+func TestWaitsWithoutAllocations(t *testing.T) {
+	for _, waitingJobs := range []int{0, 40} {
+		t.Run(fmt.Sprintf("%d waiting jobs", waitingJobs), func(t *testing.T) {
+			f := newFleet(30)
+			f.fill(waitingJobs)
+			f.keepListing()
+			pass := func(d time.Duration) {
+				for end := f.now.Add(d); f.now.Before(end); {
+					f.now = f.now.Add(expiryInterval)
+					f.cell.watchWaits(f.now)
+				}
+			}
+			lines := 0
+			f.cell.cfg.LogEvent = func(string, ...any) { lines++ }
+			pass(waitLogInterval)
+			before := lines
+			// The next lines are due waitLogInterval after the first ones.
+			allocations := testing.AllocsPerRun(1, func() { pass(longWait / 2) })
+			assert.Equal(t, lines, before)
+			assert.Equal(t, allocations, 0.0)
+		})
+	}
+}
+
+// The metrics name only the causes that occur.
+func TestWaitsAsJSON(t *testing.T) {
+	w := Waits{
+		Tasks:        3,
+		OldestMillis: 2100,
+	}
+	w.ByCause[causeNoRoom] = 2
+	w.ByCause[causeNotChosen] = 1
+	text, err := json.Marshal(w)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), `{"tasks":3,"oldest-millis":2100,"by-cause":{"no-room":2,"not-chosen":1},"lines-suppressed":0}`)
+}
+
+// Each cause and each refusal has a name.
+func TestNamesOfCauses(t *testing.T) {
+	for cause := causeLeaseOfLostRunner; cause < causeCount; cause++ {
+		assert.Assert(t, cause.String() != "", "cause %d", int(cause))
+	}
+	for reason := accepted; reason < refusalCount; reason++ {
+		assert.Assert(t, refusalNames[reason] != "", "refusal %d", int(reason))
+	}
+}
+
+// One call looks at few of the tasks.
+func TestSweepIsDividedIntoParts(t *testing.T) {
+	const runners = 1000
+	f := newFleet(runners)
+	f.fill(0)
+	f.cell.watchWaits(f.now)
+	m := f.cell.waits
+	assert.Assert(t, m.next > 0 && m.next <= tasksPerPart, "%d of %d jobs", m.next, len(m.jobs))
+	assert.Equal(t, len(m.jobs), runners*fleetSlots)
+}
+
+// BenchmarkWaitSweep looks at all tasks once, those of the jobs that wait for
+// long too.
+func BenchmarkWaitSweep(b *testing.B) {
+	benchmarkFleets(b, func(b *testing.B, runners int) {
+		f := newFleet(runners)
+		f.fill(runners / 2)
+		f.keepListing()
+		for b.Loop() {
+			f.now = f.now.Add(waitSweepInterval)
+			sweep := f.cell.waits.sweep
+			for f.cell.waits.sweep == sweep || f.cell.waits.next > 0 {
+				f.cell.watchWaits(f.now)
+			}
+		}
+	})
+}
