Bound the lines of calls to a runner that are repeated

cause: "start not accepted" and "stop request sent" were logged at each retry, every 50 ms, for each run of a runner that does not answer. ruled out: a longer time between retries; it delays the start for a log.

--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -53,7 +53,8 @@
 	startLatency *measurer.Latency
 
 	// The fields below belong to the control goroutine.
-	core *Core
+	core    *Core
+	answers *answerLog
 	// owner is the link to the owner with the highest epoch received, or nil.
 	owner *connector.Link
 }
@@ -73,6 +74,7 @@
 			Incarnation:   d.Incarnation,
 		},
 		core:         NewCore(),
+		answers:      newAnswerLog(),
 		startLatency: measurer.NewLatency(),
 	}
 	a.metrics.Store(&Counts{})
@@ -267,13 +269,26 @@
 
 func (a *Agent) startAnswered(now time.Time, call StartCall, answer Answer, err error) {
 	a.core.StartAnswered(now, call, answer, err)
-	if err != nil || answer.Refusal != "" {
+	if err == nil && answer.Refusal == "" {
+		return
+	}
+	repeats, due := a.answers.due(now, loggedCall{
+		ref: call.Start.RunRef,
+	}, answer, err)
+	if due {
 		a.log.Info("start not accepted", "task", call.Start.Task, "run", call.Start.Run, "epoch", call.Header.Epoch,
-			"lease-until-millis", call.Header.LeaseUntilMillis, "refusal", answer.Refusal, "error", err)
+			"lease-until-millis", call.Header.LeaseUntilMillis, "refusal", answer.Refusal, "error", err, "repeats", repeats)
 	}
 }
 
 func (a *Agent) stopAnswered(now time.Time, call StopCall, answer Answer, err error) {
 	a.core.StopAnswered(now, call, answer, err)
-	a.log.Info("stop request sent", "task", call.Ref.Task, "run", call.Ref.Run, "epoch", call.Header.Epoch, "refusal", answer.Refusal, "error", err)
+	repeats, due := a.answers.due(now, loggedCall{
+		stop: true,
+		ref:  call.Ref,
+	}, answer, err)
+	if due {
+		a.log.Info("stop request sent", "task", call.Ref.Task, "run", call.Ref.Run, "epoch", call.Header.Epoch,
+			"refusal", answer.Refusal, "error", err, "repeats", repeats)
+	}
 }
