Tell a wait for the next placement from one that was passed over

cause: a runner that was released a moment before its examination counted as one that placement did not choose, and a task on its way to a runner was logged with commit-not-confirmed. The fields are at the end of the task.

--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -35,6 +35,10 @@
 	// refusedNotTolerated: a best-effort task would slow latency-critical ones.
 	refusedNotTolerated
 
+	// acceptedLately: the runner accepts the task, and it improved after the
+	// last placement. Only waits are told so.
+	acceptedLately
+
 	refusalCount
 )
 
@@ -55,6 +59,7 @@
 	refusedReserved:       "reserved",
 	refusedBusy:           "busy",
 	refusedNotTolerated:   "not-tolerated",
+	acceptedLately:        "accepting-lately",
 }
 
 // schedulable reports whether tasks may be placed on the runner now.
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -72,11 +72,6 @@
 	confirmed bool
 	// listed is set once this incarnation of the runner has listed the run.
 	listed bool
-	// listedAt is when it last did.
-	listedAt time.Time
-	// waitingSince is since when the task should run and does not, to within
-	// waitSweepInterval; it is zero while the task runs.
-	waitingSince time.Time
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
@@ -90,6 +85,11 @@
 	notBefore time.Time
 	// avoid lists the runners on which the task failed or stalled.
 	avoid []string
+	// listedAt is when the runner last listed the run.
+	listedAt time.Time
+	// waitingSince is since when the task should run and does not, to within
+	// waitSweepInterval; it is zero while the task runs.
+	waitingSince time.Time
 }
 
 func (t *task) spec() *Step {
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -199,8 +199,7 @@
 		step:       number,
 	}
 	w := m.steps[key]
-	isNew := w == nil
-	if isNew {
+	if w == nil {
 		w = &stepWait{
 			unplaced: causeNotExamined,
 		}
@@ -215,7 +214,7 @@
 	for cause := range m.byCause {
 		if m.byCause[cause].count > 0 {
 			m.count(now, waitCause(cause))
-			c.logWait(now, w, waitCause(cause), isNew)
+			c.logWait(now, w, waitCause(cause))
 		}
 	}
 }
@@ -229,15 +228,15 @@
 }
 
 // logWait logs that tasks of a step wait for a cause, unless such a line was
-// logged within waitLogInterval or there are too many lines. A new cause of a
-// step that is not new must last for another sweep, since a task that is about
-// to run passes through several.
-func (c *Cell) logWait(now time.Time, w *stepWait, cause waitCause, isNew bool) {
+// logged within waitLogInterval or there are too many lines. The cause must have
+// been the same in the last sweep, since a task that is about to run passes
+// through several.
+func (c *Cell) logWait(now time.Time, w *stepWait, cause waitCause) {
 	m := c.waits
 	known := &w.causes[cause]
-	lasts := isNew || known.sweep+1 == m.sweep
+	lasts := known.sweep+1 == m.sweep
 	known.sweep = m.sweep
-	if cause == causeNotExamined || !lasts || !known.loggedAt.IsZero() && now.Sub(known.loggedAt) < waitLogInterval {
+	if !cause.logged() || !lasts || !known.loggedAt.IsZero() && now.Sub(known.loggedAt) < waitLogInterval {
 		return
 	}
 	if !m.takeLine(now) {
@@ -299,8 +298,9 @@
 	case m.runnersLeft > 0:
 		m.runnersLeft -= max(1, len(c.runners))
 		w.examinedAt = now
+		acceptedBefore := w.refusals[accepted] > 0
 		w.refusals = c.refusals(now, t)
-		w.unplaced = c.unplacedCause(now, t, &w.refusals)
+		w.unplaced = c.unplacedCause(now, t, &w.refusals, acceptedBefore)
 	}
 }
 
@@ -325,13 +325,18 @@
 		if reason == accepted {
 			reason = c.misfit(s, &w, t)
 		}
+		if reason == accepted && s.position.mayHoldMore {
+			reason = acceptedLately
+		}
 		counts[reason]++
 	}
 	return counts
 }
 
-// unplacedCause returns why a task without a runner waits.
-func (c *Cell) unplacedCause(now time.Time, t *task, refusals *[refusalCount]int) waitCause {
+// unplacedCause returns why a task without a runner waits. acceptedBefore is set
+// if a runner also accepted it at the last examination; otherwise, the next
+// placement may choose that runner.
+func (c *Cell) unplacedCause(now time.Time, t *task, refusals *[refusalCount]int, acceptedBefore bool) waitCause {
 	gang := t.spec().Gang
 	memberPlaced := func(member *task) bool { return !member.pending(now) }
 	switch {
@@ -341,12 +346,14 @@
 		return causeNotQueued
 	case gang && slices.ContainsFunc(t.occurrence.steps[t.step], memberPlaced):
 		return causeGangIncomplete
-	case refusals[accepted] == 0:
+	case refusals[accepted]+refusals[acceptedLately] == 0:
 		return refusedBy(refusals)
 	case now.Sub(c.placedAt) > placementPause:
 		return causePlacementPaused
 	case gang:
 		return causeNoRoomForGang
+	case refusals[accepted] == 0 || !acceptedBefore:
+		return causePlacementDue
 	default:
 		return causeNotChosen
 	}
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -63,8 +63,11 @@
 	// causePlacementPaused: a runner accepts the task, but nothing is placed at
 	// present.
 	causePlacementPaused
-	// causeNotChosen: a runner accepts the task, and placement did not choose
-	// it.
+	// causePlacementDue: a runner accepts the task now, and the next placement
+	// may choose it.
+	causePlacementDue
+	// causeNotChosen: a runner has accepted the task for some time, and
+	// placement did not choose it.
 	causeNotChosen
 
 	causeCount
@@ -91,6 +94,7 @@
 	causeInterference:       "interference",
 	causeNoRoomForGang:      "no-room-for-gang",
 	causePlacementPaused:    "placement-paused",
+	causePlacementDue:       "placement-due",
 	causeNotChosen:          "not-chosen",
 }
 
@@ -99,6 +103,12 @@
 	return causeNames[w]
 }
 
+// logged reports whether waits for the cause are logged. The others are not
+// known yet.
+func (w waitCause) logged() bool {
+	return w != causeNotExamined && w != causePlacementDue
+}
+
 // waitCause returns why the task does not run: causeNone if it does, and
 // causeUnplaced if it has no runner.
 func (t *task) waitCause(now time.Time) waitCause {
--- a/pkg/scheduler/waiting_test.go
+++ b/pkg/scheduler/waiting_test.go
@@ -413,6 +413,25 @@
 	assert.Equal(t, (*lines)[0]["cause"], "placement-paused")
 }
 
+// A runner that accepts the task only since the last placement is no reason to
+// say that placement passed over the task.
+func TestWaitWhilePlacementIsDue(t *testing.T) {
+	h := newCellHarness(t, "a")
+	lines := h.waitLines()
+	h.add("f", "checks", longRunning(newStep(1, 32_000)))
+	h.startAll()
+	h.add("w", "checks", newStep(1, 1000))
+	h.advance(longWait + 2*waitSweepInterval)
+	h.now = h.now.Add(reexamineInterval)
+	h.report("a")
+	h.cell.release(h.cell.jobs["f"].tasks()[0])
+	h.cell.placedAt = h.now
+	h.cell.watchWaits(h.now)
+	assert.Equal(t, h.cell.Waits().ByCause[causePlacementDue], int64(1))
+	assert.Equal(t, len(*lines), 1)
+	assert.Equal(t, (*lines)[0]["cause"], "no-room")
+}
+
 // The line on a run of a lost runner gives the time until its lease ends, and
 // the run that is placed then is not logged.
 func TestWaitForLeaseOfLostRunner(t *testing.T) {
