--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -263,15 +263,38 @@
 	return s.free().ProcessorMillis + unused - s.bestEffortMillis
 }
 
-// schedulable reports whether any task may be placed on the runner now.
-func (s *runnerState) schedulable(now time.Time) bool {
-	return s.available(now) && !s.quarantined(now)
+// refusal returns why no task may be placed on the runner now, or accepted.
+func (s *runnerState) refusal(now time.Time) refusal {
+	if reason := s.unavailability(now); reason != accepted {
+		return reason
+	}
+	if s.quarantined(now) {
+		return s.quarantineRefusal(now)
+	}
+	return accepted
+}
+
+// unavailability returns why the runner can start no runs now, or accepted.
+func (s *runnerState) unavailability(now time.Time) refusal {
+	switch {
+	case !s.reported || s.agent == "":
+		return refusedNoLink
+	case s.unanswered:
+		return refusedUnanswered
+	case now.Sub(s.listedAt) > listingTTL:
+		return refusedNoListing
+	case s.info.Draining || s.info.Left:
+		return refusedDraining
+	case s.startRefusals.backingOff(now):
+		return refusedBackoff
+	default:
+		return accepted
+	}
 }
 
 // available reports whether the runner can start runs now.
 func (s *runnerState) available(now time.Time) bool {
-	return s.reported && s.agent != "" && !s.unanswered && !s.info.Draining && !s.info.Left &&
-		now.Sub(s.listedAt) <= listingTTL && !s.startRefusals.backingOff(now)
+	return s.unavailability(now) == accepted
 }
 
 // quarantined reports whether other runners are to be used instead. After its
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -85,6 +85,11 @@
 	notBefore time.Time
 	// avoid lists the runners on which the task failed or stalled.
 	avoid []string
+	// listedAt is when the runner last listed the run.
+	listedAt time.Time
+	// waitingSince is since when the task should run and does not, to within
+	// waitSweepInterval; it is zero while the task runs.
+	waitingSince time.Time
 }
 
 func (t *task) spec() *Step {
