Give back a start that the agent cannot send for a second

cause: an agent sends no start while its runner's last listing is older than 1.5 s or a lease is missing. It told the owner nothing, so a run that was placed just before its runner went silent stayed there until the runner's lease expired. ruled out: that the owner notices it. Its reports say neither started nor finished, and nothing but an answer or the lease ended that state. change: a start that was never sent and is held for 1 s is reported as never started. Runs that had started on the lost runner still wait for its lease.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -36,7 +36,9 @@
 	// got no response, an earlier agent may have sent it, or the runner refused
 	// it as stale.
 	mayHaveStarted bool
-	retryAt        time.Time
+	// receivedAt is when the owner first requested the command.
+	receivedAt time.Time
+	retryAt    time.Time
 	// verifyAfter is the number of the first lease renewal whose listing can
 	// resolve the command.
 	verifyAfter uint64
@@ -56,6 +58,7 @@
 			cmd = &command{
 				start:          start,
 				phase:          phaseStarting,
+				receivedAt:     now,
 				mayHaveStarted: start.Repeated,
 			}
 			c.commands[start.RunRef] = cmd
@@ -117,6 +120,9 @@
 		// The owner grants a lease after it has received a reading of the
 		// runner's clock, and a runner that stopped responding may come back
 		// as another incarnation.
+		if !cmd.mayHaveStarted && now.Sub(cmd.receivedAt) >= maxStartHold {
+			c.abandonStart(now, cmd)
+		}
 		return
 	}
 	cmd.inFlight = true
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -30,6 +30,9 @@
 	// listingTTL is how long a listing is valid as evidence of which incarnation
 	// of the runner is present.
 	listingTTL = 1500 * time.Millisecond
+	// maxStartHold is how long a start is held back, for want of a lease or of a
+	// recent listing, before the agent gives it back to the owner.
+	maxStartHold = time.Second
 	// maxCallsInFlight bounds the concurrent start and stop calls to the runner.
 	maxCallsInFlight = 16
 )
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -352,3 +352,45 @@
 		assert.Equal(t, h.takeAction(isRenewal).Renew.Wait, time.Duration(0))
 	})
 }
+
+// A run that was placed on a runner just before the runner went silent must not
+// wait there for the runner's lease: the agent never requested its start.
+func TestHeldStartIsAbandoned(t *testing.T) {
+	one := ref("a.0.0.0")
+	silentRunner := func(t *testing.T, list []framer.RunStart) *coreHarness {
+		t.Helper()
+		h := newCoreHarness(t)
+		h.answerRenewal(1000, Listing{})
+		h.advance(listingTTL + time.Millisecond)
+		h.sync(framer.Sync{
+			Starts:           list,
+			LeaseUntilMillis: 11_000,
+		})
+		return h
+	}
+	t.Run("a start that was never sent is reported as never started", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold)
+		assert.Assert(t, h.reportedNeverStarted(one))
+		assert.Equal(t, h.countOpen(isStart), 0)
+	})
+	t.Run("the runner may answer again soon", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold / 2)
+		h.answerRenewal(3000, Listing{})
+		assert.Equal(t, h.countOpen(isStart), 1)
+	})
+	t.Run("a start that may have been sent is not reported", func(t *testing.T) {
+		repeated := starts(one)
+		repeated[0].Repeated = true
+		h := silentRunner(t, repeated)
+		h.advance(5 * time.Second)
+		assert.Assert(t, !h.reportedNeverStarted(one))
+	})
+	t.Run("a start that was abandoned is not sent later", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold)
+		h.answerRenewal(3000, Listing{})
+		assert.Equal(t, h.countOpen(isStart), 0)
+	})
+}
