Do not wait for starts that never left the agent

cause: each start call that failed counted as one that the runner may still carry out, also one that failed while dialling because the runner is gone.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
@@ -147,12 +149,16 @@
 }
 
 // StartAnswered processes the result of a start call; err is set if there was
-// no response.
+// no response. Unless it is a *NotSentError, the call may still be carried out.
 func (c *Core) StartAnswered(now time.Time, call StartCall, a Answer, err error) {
 	c.callsInFlight--
 	cmd := c.commands[call.Start.RunRef]
+	var notSent *NotSentError
+	mayArrive := err != nil && !errors.As(err, &notSent)
 	if err != nil {
 		c.Counts.Unanswered++
+	}
+	if mayArrive {
 		c.unconfirmedStarts[call.Start.RunRef] = now
 	}
 	if cmd == nil || call.Header.Runner != c.runner.Key {
@@ -164,7 +170,7 @@
 		return
 	}
 	if err != nil {
-		cmd.mayHaveStarted = true
+		cmd.mayHaveStarted = cmd.mayHaveStarted || mayArrive
 		cmd.retryAt = now.Add(retryBackoff)
 		return
 	}
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -394,3 +394,25 @@
 		assert.Equal(t, h.countOpen(isStart), 0)
 	})
 }
+
+// A start call that never reached the runner, since the runner is gone, cannot be
+// carried out later: nothing has to wait for the lease.
+func TestStartThatWasNotSentIsGivenBack(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           starts(one),
+		LeaseUntilMillis: 11_000,
+	})
+	for range 60 {
+		if h.countOpen(isStart) > 0 {
+			h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errors.Wrap(&NotSentError{
+				Cause: "connection refused",
+			}, "starting a run"))
+		}
+		h.advance(retryBackoff)
+	}
+	assert.Assert(t, h.reportedNeverStarted(one))
+	assert.Equal(t, len(h.core.recentUnconfirmedStarts(h.now)), 0, "no later incarnation can carry it out")
+}
--- a/pkg/supervisor/runner.go
+++ b/pkg/supervisor/runner.go
@@ -61,8 +61,20 @@
 	LeaseUntilMillis int64
 }
 
+// NotSentError reports that a call to the runner failed before any of it was
+// sent, so that the runner will never carry it out.
+type NotSentError struct {
+	Cause string
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return "call not sent: " + e.Cause
+}
+
 // Runner calls the runner beside the agent. Each function returns an error if
-// there was no response; the runner may still carry out the call later.
+// there was no response; the runner may still carry out the call later, unless
+// the error is a *NotSentError.
 type Runner struct {
 	Start    func(ctx context.Context, h CallHeader, start framer.RunStart) (Answer, error)
 	Stop     func(ctx context.Context, h CallHeader, ref framer.RunRef) (Answer, error)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -62,6 +62,8 @@
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
+guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
+guard only-failed-dials-are-unsent pkg/server/server.go 's/ \&\& op.Op == "dial"//' platform TestCallToMissingRunnerIsNotSent
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
 guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].change <= committed//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
