Do not renew the lease of a runner that has left

cause: a report that the runner left ends its lease a second later, but the same report made the next lease due, and that grant moved the end back to the lease's full length. With a lease of 6 s that happens within every second, so the tasks of a runner that left waited for its lease. ruled out: that the agent prevents it.

--- a/pkg/scheduler/cell_test.go
+++ b/pkg/scheduler/cell_test.go
@@ -557,3 +557,31 @@
 		assert.Equal(t, c.dueBy, h.now.Add(1750*time.Millisecond), "%s", ahead)
 	}
 }
+
+// The leases of a runner that left must not be renewed by the reports of its
+// agent: its tasks would wait for a lease that nobody holds.
+func TestTasksOfLeftRunnerStartElsewhere(t *testing.T) {
+	h := newCellHarness(t, "x", "y")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	left, other := "x", "y"
+	if len(h.acceptStarts("x")) == 0 {
+		left, other = "y", "x"
+		h.acceptStarts("y")
+	}
+	h.advance(time.Second)
+	r := h.runners[left]
+	r.Runner.Draining = true
+	r.Runner.Left = true
+	// The runner answers no more, so its clock is not read again.
+	r.Listed = false
+	delete(h.runners, left)
+	for range 4 {
+		h.cell.HandleReport(h.now, left, *r)
+		for _, agent := range h.cell.Dirty() {
+			h.cell.Sync(h.now, agent, true)
+		}
+		h.advance(500 * time.Millisecond)
+	}
+	assert.DeepEqual(t, h.acceptStarts(other), []framer.RunRef{runRef("j.0.0.0", 2)})
+}
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -10,7 +10,8 @@
 
 // Sync returns what an agent must be sent now: the lease of its runner, the
 // runs to start and to stop, and the acknowledged sequence. If granting is
-// false, no runs are started and the lease is not renewed.
+// false, no runs are started and the lease is not renewed. The lease of a runner
+// that left is never renewed.
 func (c *Cell) Sync(now time.Time, agent string, granting bool) framer.Sync {
 	sync := framer.Sync{
 		Epoch: c.cfg.Epoch,
@@ -23,7 +24,7 @@
 	s.leaseSentAt = time.Time{}
 	sync.Runner = s.key
 	sync.AckedSequence = s.ackedSequence
-	if granting && s.clockMillis > 0 {
+	if granting && s.clockMillis > 0 && !s.info.Left {
 		sync.LeaseUntilMillis = s.clockMillis + c.cfg.Lease.Milliseconds()
 		s.leaseEnd = maxTime(s.leaseEnd, s.clockAt.Add(c.maxLease()))
 		s.leaseSentAt = now
@@ -65,10 +66,10 @@
 	)
 }
 
-// renewalDue reports whether the runner's lease must be renewed. That is always
-// so if the last sync could not grant it.
+// renewalDue reports whether the runner's lease must be renewed. Unless the runner
+// left, that is always so if the last sync could not grant it.
 func (c *Cell) renewalDue(now time.Time, s *runnerState) bool {
-	return now.Sub(s.leaseSentAt) >= c.cfg.Lease/leaseRenewals
+	return !s.info.Left && now.Sub(s.leaseSentAt) >= c.cfg.Lease/leaseRenewals
 }
 
 // maxLease returns how long a lease may last by this process's clock.
