Stop a run that is missing from its runner's listings

cause: a run that its runner accepted or listed counted as running until an end was reported. A runner forgets ends up to the acknowledged number, and a delayed acknowledgement to its earlier incarnation may reach it, so an end can be lost unread.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -292,6 +292,8 @@
 	t.startSent = false
 	t.confirmed = false
 	t.listed = false
+	t.listedIn = 0
+	t.missing = missing{}
 	t.percent = 0
 	t.stalledFor = 0
 	t.stopping = false
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -46,6 +46,9 @@
 		c.runFinished(now, s, e)
 		s.recordFinished(e.Sequence, c.change)
 	}
+	if listed {
+		c.stopMissing(now, s)
+	}
 	s.ackCommitted(c.committed)
 }
 
@@ -197,6 +200,7 @@
 	}
 	c.confirm(s, status.RunRef)
 	t.listed = true
+	t.listedIn = s.listings
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -47,8 +47,10 @@
 	// agent is the address of the agent that reports the runner, or empty while
 	// there is no link to that agent.
 	agent string
-	// listedAt is when the runner last listed its runs.
+	// listedAt is when the runner last listed its runs, and listings counts the
+	// listings.
 	listedAt    time.Time
+	listings    int
 	clockMillis int64
 	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted expires.
@@ -203,6 +205,9 @@
 	}
 	at := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
 	isNew := at.Sub(s.listedAt) > listingJitter
+	if isNew {
+		s.listings++
+	}
 	s.listedAt = maxTime(s.listedAt, at)
 	return isNew
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -72,6 +72,10 @@
 	confirmed bool
 	// listed is set once this incarnation of the runner has listed the run.
 	listed bool
+	// listedIn is the number of the runner's last listing with the run, and
+	// missing counts the listings without it since then.
+	listedIn int
+	missing  missing
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
