Do not take a run for absent from a listing that may lack ends

cause: a runner lists at most 500 ends at a time. An agent that had stopped a run reported it as never started if a listing had neither the run nor its end, also if the end was merely in a later portion; the task then started a second time. ruled out: that so many ends never wait: those of a busy runner do when the owner's writes are not confirmed for some seconds. change: a listing with 500 ends resolves no stop. before: TestFullListingDoesNotResolveStop fails: reported as never started. after: go test ./pkg/supervisor passes; guard full-listing-proves-no-absence is red. conclusion: it takes the next portion to resolve such a stop, which follows the acknowledgement of the first.

--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -416,3 +417,32 @@
 	assert.Assert(t, h.reportedNeverStarted(one))
 	assert.Equal(t, len(h.core.recentUnconfirmedStarts(h.now)), 0, "no later incarnation can carry it out")
 }
+
+// A runner lists its ends in portions. A run whose end is in a later portion must
+// not count as never started, since it would start a second time.
+func TestFullListingDoesNotResolveStop(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Stops:            []framer.RunRef{one},
+		LeaseUntilMillis: 7000,
+	})
+	h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{}, nil)
+	h.tick()
+	var full Listing
+	for i := range maxListedEnds {
+		full.Finished = append(full.Finished, framer.FinishedRun{
+			RunRef:   ref(fmt.Sprintf("b.0.0.%d", i)),
+			Sequence: int64(i + 1),
+			Reason:   framer.FinishDone,
+		})
+	}
+	for range 3 {
+		h.advance(renewBackoff)
+		h.answerRenewal(1500, full)
+	}
+	assert.Assert(t, !h.reportedNeverStarted(one))
+	h.answerRenewal(1600, Listing{})
+	assert.Assert(t, h.reportedNeverStarted(one))
+}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -7,6 +7,10 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
+// maxListedEnds is the number of finished runs in the largest listing; a runner
+// lists further ones once these are acknowledged.
+const maxListedEnds = 500
+
 // renewLease sends the next lease renewal when it is due.
 func (c *Core) renewLease(now time.Time) {
 	if !c.known || c.runner.Left || c.renewing || now.Before(c.nextRenewal) {
@@ -114,8 +118,11 @@
 
 // resolveVerifying marks as never started each command whose stop was confirmed
 // and whose run is neither running nor finished in a listing requested after
-// that.
+// that. A listing that may lack ends resolves none.
 func (c *Core) resolveVerifying(now time.Time, l Listing) {
+	if len(l.Finished) >= maxListedEnds {
+		return
+	}
 	for ref, cmd := range c.commands {
 		if cmd.phase != phaseVerifying || c.renewCalls < cmd.verifyAfter {
 			continue
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -62,6 +62,7 @@
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
+guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
 guard only-failed-dials-are-unsent pkg/server/server.go 's/ \&\& op.Op == "dial"//' platform TestCallToMissingRunnerIsNotSent
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
