Keep the owner's writes within the entries that the store takes

cause: the store refuses a transaction of more than 100 entries. A write of the owner holds up to 90 jobs, two entries for the lease, and every learned model that fits into 16 KiB: with 40 images 132 entries, with 80 images and the removal of 40 rows 122. A refused write is sent again unchanged every 100 ms, so the owner renewed no lease and wrote no row any more, and so did each owner after it. ruled out: the limit of bytes. Models of few best-effort images are a hundred bytes each. change: a write holds at most 8 models; they take turns as before. before: TestWritesHaveNoMoreEntriesThanAllowed fails with 132 and 122 entries. after: go test ./pkg/controller passes; guard writes-have-few-entries is red. conclusion: needs more than 8 latency-critical images and a commit of more than 80 jobs at once. A refusal for another reason still blocks the owner.

--- a/pkg/controller/learned_models.go
+++ b/pkg/controller/learned_models.go
@@ -13,6 +13,10 @@
 	modelWriteInterval = time.Second
 	// modelWriteBytes limits what one write adds for them; each entry reads it.
 	modelWriteBytes = 16 << 10
+	// modelWriteRows limits the models in one write. With the lease row, its
+	// expected version and as many jobs as a commit has, the write still has no
+	// more than storer.MaxChangeEntries entries.
+	modelWriteRows = 8
 )
 
 // modelPuts returns the writes of some of the cell's learned interference
@@ -29,12 +33,12 @@
 	return puts
 }
 
-// nextModels returns the rows of the models from number first on, in turn, as
-// many as have at most limit bytes, but at least one.
+// nextModels returns the rows of the models from number first on, in turn, at
+// most modelWriteRows and as many as have at most limit bytes, but at least one.
 func nextModels(models scheduler.LearnedModels, first, limit int) []storer.Put {
 	var puts []storer.Put
 	size := 0
-	for i := range models.Images {
+	for i := range min(modelWriteRows, len(models.Images)) {
 		image := models.Images[(first+i)%len(models.Images)]
 		value := storer.EncodeCBOR(scheduler.LearnedModels{
 			Images: []scheduler.ImageModel{image},
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -81,6 +81,7 @@
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
+guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
 guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
