Let no rejected transaction block all later ones

cause: a transaction that the store rejects for what it contains (too large a row, too many entries) was sent again unchanged every 100 ms. No other job's row was written and the lease was not renewed, by this owner or any after it. A submission that was rejected was answered with a time-out, so callers sent it again. The owner drops such a write; the next one has a quarter of its rows, down to one. A row that is rejected on its own waits for 5 s, and the ends that it covers are not acknowledged. A rejected submission is refused at once. before: TestRejectedWriteBlocksNoOther fails: of 29 jobs beside one whose row is rejected, none is written. after: go test passes for pkg/scheduler, pkg/controller, pkg/relayer, ./platform, and TestStepsUnderFaults; guards rejected-write-is-discarded, end-of-rejected-row-is-kept, rejection-is-permanent and rejection-is-passed-on are red; acknowledge-once-committed follows the moved condition and is red. conclusion: the job with the rejected row stays behind, all others go on.

--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -114,6 +114,14 @@
 	mayHaveTakenEffect := false
 	for {
 		_, err := e.store.Commit(ctx, change)
+		var rejected *storer.RejectedError
+		if errors.As(err, &rejected) {
+			e.refused.Add(1)
+			return &NotAcceptedError{
+				Reason:     rejected.Error(),
+				RetryAfter: retryAfter,
+			}
+		}
 		var unavailable *storer.UnavailableError
 		if !errors.As(err, &unavailable) {
 			return err
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -65,6 +65,8 @@
 	sentAt  time.Time
 	// resendAt is when the write is retried; zero while it is in flight.
 	resendAt time.Time
+	// rejected is set if the store rejects the transaction as it is.
+	rejected bool
 	acquire  bool
 	release  bool
 }
@@ -232,11 +234,26 @@
 
 func (e *Entry) resendIfDue(now time.Time) {
 	w := e.owner.write
-	if !w.resendAt.IsZero() && !now.Before(w.resendAt) {
+	switch {
+	case w.resendAt.IsZero() || now.Before(w.resendAt):
+	case w.rejected:
+		e.discardWrite(now, w)
+	default:
 		e.transmitWrite(now, w)
 	}
 }
 
+// discardWrite drops a rejected write. The next one has no learned models, and
+// fewer jobs if this one had any.
+func (e *Entry) discardWrite(now time.Time, w *pendingWrite) {
+	o := &e.owner
+	o.write = nil
+	o.nextModelWrite = now.Add(modelWriteInterval)
+	if o.cell != nil {
+		o.cell.Rejected(now, w.commit)
+	}
+}
+
 // writeAnswered handles the store's reply to the pending write.
 func (e *Entry) writeAnswered(now time.Time, w *pendingWrite, version uint64, err error) {
 	o := &e.owner
@@ -244,11 +261,16 @@
 		return
 	}
 	var mismatch *storer.VersionMismatchError
+	var rejected *storer.RejectedError
 	switch {
 	case err == nil:
 		e.writeConfirmed(now, w, version)
 	case errors.As(err, &mismatch):
 		e.writeMismatched(now, w, mismatch)
+	case errors.As(err, &rejected):
+		w.rejected = true
+		w.resendAt = now.Add(resendDelay)
+		e.log.Error("commit rejected", "serial", w.serial, "rows", len(w.commit.Rows), "error", err)
 	default:
 		w.resendAt = now.Add(resendDelay)
 		e.log.Info("commit not confirmed", "serial", w.serial, "error", err)
--- a/pkg/controller/owner_writes_test.go
+++ b/pkg/controller/owner_writes_test.go
@@ -141,3 +141,37 @@
 		assert.Assert(t, entries(w.change) <= storer.MaxChangeEntries, "%d entries", entries(w.change))
 	})
 }
+
+// A transaction that the store rejects each time must not end all writes.
+func TestRejectedWriteBlocksNoOther(t *testing.T) {
+	const bad = "job-17"
+	h := newOwnerHarness(t)
+	h.addCancelledJobs(30)
+	written := map[string]bool{}
+	for range 40 {
+		h.now = h.now.Add(resendDelay)
+		h.entry.manageCell(h.now)
+		w := h.entry.owner.write
+		if w == nil {
+			continue
+		}
+		err := error(nil)
+		for _, row := range w.commit.Rows {
+			if row.ID == bad {
+				err = &storer.RejectedError{
+					Status: 400,
+				}
+			}
+		}
+		if err != nil {
+			h.answer(err)
+			continue
+		}
+		for _, row := range w.commit.Rows {
+			written[row.ID] = true
+		}
+		h.confirm()
+	}
+	assert.Equal(t, len(written), 29)
+	assert.Assert(t, h.entry.owner.lease.Valid(h.now), "the lease is renewed")
+}
--- a/pkg/relayer/wire.go
+++ b/pkg/relayer/wire.go
@@ -46,6 +46,7 @@
 	Page            storer.Page                  `cbor:"page"`
 	Row             storer.PartitionedRow        `cbor:"row"`
 	VersionMismatch *storer.VersionMismatchError `cbor:"stale,omitempty"`
+	Rejected        *storer.RejectedError        `cbor:"rejected,omitempty"`
 	Compacted       *storer.CompactedError       `cbor:"compacted,omitempty"`
 	Unavailable     *storer.UnavailableError     `cbor:"unavailable,omitempty"`
 	Other           string                       `cbor:"other,omitempty"`
@@ -90,7 +91,7 @@
 	}
 	switch {
 	case err == nil:
-	case errors.As(err, &resp.VersionMismatch), errors.As(err, &resp.Compacted), errors.As(err, &resp.Unavailable):
+	case errors.As(err, &resp.VersionMismatch), errors.As(err, &resp.Rejected), errors.As(err, &resp.Compacted), errors.As(err, &resp.Unavailable):
 	default:
 		resp.Other = err.Error()
 	}
@@ -102,6 +103,8 @@
 	switch {
 	case r.VersionMismatch != nil:
 		return r.VersionMismatch
+	case r.Rejected != nil:
+		return r.Rejected
 	case r.Compacted != nil:
 		return r.Compacted
 	case r.Unavailable != nil:
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -58,6 +58,10 @@
 	// committed are persisted.
 	change    uint64
 	committed uint64
+	// commitLimit is the largest number of rows in the next commit; rejected
+	// lists the jobs whose rows the store rejected.
+	commitLimit int
+	rejected    []*job
 	// interference is the learned model of how co-located tasks slow one
 	// another.
 	interference *interference
@@ -103,6 +107,7 @@
 		syncs:        &syncQueue{},
 		agents:       map[string]*runnerState{},
 		changed:      map[*job]struct{}{},
+		commitLimit:  maxCommitRows,
 		interference: models,
 		rejections:   newRejections(models),
 		placementDue: true,
@@ -318,6 +323,7 @@
 	if now.Sub(c.expiryCheckedAt) >= expiryInterval {
 		c.expiryCheckedAt = now
 		c.expireLeases(now)
+		c.retryRejected(now)
 	}
 	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -4,12 +4,21 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // maxCommitRows bounds the job rows in one commit, so that the cell's own row
 // still fits into the transaction.
 const maxCommitRows = 90
 
+// rejectedRowDelay is the time after which the row of a job is written again that
+// the store rejected on its own.
+const rejectedRowDelay = 5 * time.Second
+
+// rejectedCommitDivisor is the factor by which the next commit after a rejected
+// one is smaller.
+const rejectedCommitDivisor = 4
+
 // Row is a job's progress that has to be written.
 type Row struct {
 	ID       string
@@ -31,17 +40,28 @@
 }
 
 // Commit returns the rows that changed since the last commit, at most
-// maxCommitRows of them, and reports whether there are any. It must not be
-// called again before Committed.
+// commitLimit of them, and reports whether there are any. It must not be called
+// again before Committed or Rejected. The row of a job that was rejected is left
+// out for rejectedRowDelay, and then written on its own.
 func (c *Cell) Commit() (Commit, bool) {
 	jobs := slices.SortedFunc(maps.Keys(c.changed), func(a, b *job) int {
 		return cmp.Compare(a.spec.ID, b.spec.ID)
 	})
+	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return !j.rejectedUntil.IsZero() })
+	if len(jobs) == 0 {
+		c.advanceCommitted(c.change)
+		return Commit{}, false
+	}
 	commit := Commit{
 		upTo: c.change,
 	}
-	if len(jobs) > maxCommitRows {
-		jobs = jobs[:maxCommitRows]
+	limit := c.commitLimit
+	if i := slices.IndexFunc(jobs, func(j *job) bool { return j.rejected }); i >= 0 {
+		jobs[0], jobs[i] = jobs[i], jobs[0]
+		limit = 1
+	}
+	if len(jobs) > limit {
+		jobs = jobs[:limit]
 		commit.upTo = c.committed
 	}
 	for _, j := range jobs {
@@ -60,7 +80,19 @@
 		}
 		commit.Rows = append(commit.Rows, row)
 	}
-	return commit, len(commit.Rows) > 0
+	return commit, true
+}
+
+// advanceCommitted records that all changes up to one are persisted, except those
+// of rejected rows.
+func (c *Cell) advanceCommitted(upTo uint64) {
+	if upTo <= c.committed {
+		return
+	}
+	c.committed = upTo
+	for _, s := range c.runners {
+		s.ackCommitted(c.committed)
+	}
 }
 
 // Committed records that the rows of a commit are persisted. It allows the
@@ -68,6 +100,7 @@
 // that they cover, and drops finished jobs.
 func (c *Cell) Committed(commit Commit) {
 	c.committed = max(c.committed, commit.upTo)
+	c.commitLimit = min(maxCommitRows, 2*c.commitLimit)
 	for _, row := range commit.Rows {
 		for _, r := range row.runs {
 			if r.task.runner != nil && r.task.run == r.run {
@@ -77,6 +110,9 @@
 		}
 		j := c.jobs[row.ID]
 		_, changed := c.changed[j]
+		if j != nil {
+			j.rejected = false
+		}
 		if j != nil && !changed && j.state.Final() && j.placed == 0 {
 			delete(c.jobs, row.ID)
 		}
@@ -85,3 +121,35 @@
 		s.ackCommitted(c.committed)
 	}
 }
+
+// Rejected records that the store rejected a commit as it is. Its rows are written
+// again, fewer at a time. A row that was rejected on its own must not keep others
+// from being written: it waits, and the ends that it covers are not acknowledged.
+func (c *Cell) Rejected(now time.Time, commit Commit) {
+	c.commitLimit = max(1, len(commit.Rows)/rejectedCommitDivisor)
+	for _, row := range commit.Rows {
+		j := c.jobs[row.ID]
+		if j == nil {
+			continue
+		}
+		c.changed[j] = struct{}{}
+		if len(commit.Rows) == 1 {
+			j.rejected = true
+			j.rejectedUntil = now.Add(rejectedRowDelay)
+			c.rejected = append(c.rejected, j)
+			c.cfg.LogEvent("row rejected", "job", row.ID, "tasks", len(row.Progress.Tasks))
+		}
+	}
+}
+
+// retryRejected lets the rows that were rejected be written again after
+// rejectedRowDelay.
+func (c *Cell) retryRejected(now time.Time) {
+	c.rejected = slices.DeleteFunc(c.rejected, func(j *job) bool {
+		if now.Before(j.rejectedUntil) {
+			return false
+		}
+		j.rejectedUntil = time.Time{}
+		return true
+	})
+}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -43,8 +43,12 @@
 		if e.Reason != framer.FinishNeverStarted && e.Sequence <= s.recordedSequence {
 			continue
 		}
+		var j *job
+		if t := c.taskByName(e.Task); t != nil {
+			j = t.job
+		}
 		c.runFinished(now, s, e)
-		s.recordFinished(e.Sequence, c.change)
+		s.recordFinished(e.Sequence, c.change, j)
 	}
 	if listed {
 		c.stopMissing(now, s)
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -110,6 +110,13 @@
 type pendingFinish struct {
 	sequence int64
 	change   uint64
+	// job is the job of the run, or nil if the cell does not have it.
+	job *job
+}
+
+// committed reports whether the row that records the finished run is committed.
+func (p *pendingFinish) committed(change uint64) bool {
+	return p.change <= change && (p.job == nil || !p.job.rejected)
 }
 
 func newRunnerState(key framer.RunnerKey, leaseEnd time.Time, index *runnerIndex, syncs *syncQueue) *runnerState {
@@ -316,12 +323,13 @@
 
 // recordFinished records that a finished run was processed, and the change that
 // must be committed before it is acknowledged.
-func (s *runnerState) recordFinished(sequence int64, change uint64) {
+func (s *runnerState) recordFinished(sequence int64, change uint64, j *job) {
 	if sequence > s.recordedSequence {
 		s.recordedSequence = sequence
 		s.unacked = append(s.unacked, pendingFinish{
 			sequence: sequence,
 			change:   change,
+			job:      j,
 		})
 	}
 }
@@ -330,7 +338,7 @@
 // is covered by committed changes.
 func (s *runnerState) ackCommitted(committed uint64) {
 	n := 0
-	for n < len(s.unacked) && s.unacked[n].change <= committed {
+	for n < len(s.unacked) && s.unacked[n].committed(committed) {
 		s.ackedSequence = s.unacked[n].sequence
 		n++
 	}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -31,7 +31,11 @@
 	waitedLong bool
 	// failedOn lists the runners on which a run of the job failed.
 	failedOn []string
-	endedAt  time.Time
+	// rejected is set while the job's last row was rejected, and rejectedUntil
+	// is the time before which it is not written again.
+	rejected      bool
+	rejectedUntil time.Time
+	endedAt       time.Time
 	// chain is the duration of the longest chain of steps, by the caller's
 	// estimates.
 	chain time.Duration
--- a/pkg/storer/rows.go
+++ b/pkg/storer/rows.go
@@ -60,7 +60,8 @@
 // RowStore is a platform's transactional store with partitioned tables.
 type RowStore struct {
 	// Commit returns the version of the rows written, a *VersionMismatchError
-	// if a precondition failed, or an *UnavailableError.
+	// if a precondition failed, a *RejectedError if the change is invalid, or an
+	// *UnavailableError.
 	Commit func(ctx context.Context, change Change) (uint64, error)
 	// Get returns a row; its version is zero if there is none.
 	Get func(ctx context.Context, key Key) (PartitionedRow, error)
@@ -83,6 +84,17 @@
 	return fmt.Sprintf("the change expected other versions of %d rows", len(e.Rows))
 }
 
+// RejectedError reports that the store rejected a change, which had no effect and
+// will be rejected again unless it is altered.
+type RejectedError struct {
+	Status int `cbor:"status"`
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("the store rejected the change with status %d", e.Status)
+}
+
 // CompactedError reports that the store has compacted the changes since version
 // After; the table has to be read again.
 type CompactedError struct {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -66,7 +66,7 @@
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
 guard only-failed-dials-are-unsent pkg/server/server.go 's/ \&\& op.Op == "dial"//' platform TestCallToMissingRunnerIsNotSent
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
-guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].change <= committed//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
+guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
 guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/if !now.After\(s.leaseEnd\) \{/if s.agent != "" {/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
@@ -82,6 +82,10 @@
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
 guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
+guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
+guard end-of-rejected-row-is-kept pkg/scheduler/runner_state.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
+guard rejection-is-permanent platform/store.go 's/status >= consts.StatusBadRequest \&\& //; s/status < consts.StatusInternalServerError/false/' platform TestRejectedChangeIsToldFromUnavailableStore
+guard rejection-is-passed-on pkg/relayer/wire.go 's/errors.As\(err, \&resp.Rejected\), //' pkg/relayer TestRejectionIsPassedOn
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
 guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
