--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -53,7 +53,9 @@
 	agents map[string]*runnerState
 	// unplaced lists the jobs with tasks that are neither done nor placed.
 	unplaced []*job
-	changed  map[*job]struct{}
+	// changed holds the jobs whose rows must be written, each with the number of
+	// its first change since its row was last written.
+	changed map[*job]uint64
 	// change is the number of the last change to a job row; all changes up to
 	// committed are persisted.
 	change    uint64
@@ -106,7 +108,7 @@
 		index:        newRunnerIndex(),
 		syncs:        &syncQueue{},
 		agents:       map[string]*runnerState{},
-		changed:      map[*job]struct{}{},
+		changed:      map[*job]uint64{},
 		commitLimit:  maxCommitRows,
 		interference: models,
 		rejections:   newRejections(models),
@@ -279,7 +281,9 @@
 // markChanged records that a job's row must be written.
 func (c *Cell) markChanged(j *job) {
 	c.change++
-	c.changed[j] = struct{}{}
+	if _, changed := c.changed[j]; !changed {
+		c.changed[j] = c.change
+	}
 }
 
 func (c *Cell) bind(s *runnerState, t *task) {
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -24,6 +24,8 @@
 	ID       string
 	Progress Progress
 	runs     []committedRun
+	// since is the number of the first change that the row persists.
+	since uint64
 }
 
 type committedRun struct {
@@ -40,12 +42,12 @@
 }
 
 // Commit returns the rows that changed since the last commit, at most
-// commitLimit of them, and reports whether there are any. It must not be called
-// again before Committed or Rejected. The row of a job that was rejected is left
-// out for rejectedRowDelay, and then written on its own.
+// commitLimit of them, those that changed first, and reports whether there are
+// any. It must not be called again before Committed or Rejected. The row of a job
+// that was rejected is left out for rejectedRowDelay, and then written on its own.
 func (c *Cell) Commit() (Commit, bool) {
 	jobs := slices.SortedFunc(maps.Keys(c.changed), func(a, b *job) int {
-		return cmp.Compare(a.spec.ID, b.spec.ID)
+		return cmp.Compare(c.changed[a], c.changed[b])
 	})
 	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return !j.rejectedUntil.IsZero() })
 	if len(jobs) == 0 {
@@ -57,19 +59,20 @@
 	}
 	limit := c.commitLimit
 	if i := slices.IndexFunc(jobs, func(j *job) bool { return j.rejected }); i >= 0 {
-		jobs[0], jobs[i] = jobs[i], jobs[0]
+		jobs = slices.Concat(jobs[i:i+1], jobs[:i], jobs[i+1:])
 		limit = 1
 	}
 	if len(jobs) > limit {
+		commit.upTo = c.changed[jobs[limit]] - 1
 		jobs = jobs[:limit]
-		commit.upTo = c.committed
 	}
 	for _, j := range jobs {
-		delete(c.changed, j)
 		row := Row{
 			ID:       j.spec.ID,
 			Progress: j.progress(),
+			since:    c.changed[j],
 		}
+		delete(c.changed, j)
 		for _, t := range j.tasks() {
 			if t.runner != nil {
 				row.runs = append(row.runs, committedRun{
@@ -132,7 +135,7 @@
 		if j == nil {
 			continue
 		}
-		c.changed[j] = struct{}{}
+		c.changed[j] = row.since
 		if len(commit.Rows) == 1 {
 			j.rejected = true
 			j.rejectedUntil = now.Add(rejectedRowDelay)
--- a/pkg/scheduler/commit_test.go
+++ b/pkg/scheduler/commit_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,34 @@
 		assert.Equal(t, h.cell.Sync(h.now, "x", true).AckedSequence, int64(2))
 	})
 }
+
+// While more jobs change than one commit holds, a job must not wait behind those
+// that change again and again: no run of it would start.
+func TestChangedJobsAreCommittedInTurn(t *testing.T) {
+	const jobs = 3 * maxCommitRows
+	h := newCellHarness(t, "x")
+	for i := range jobs {
+		h.add(fmt.Sprintf("j%03d", i), "checks", newStep(1, 500))
+	}
+	written := map[string]int{}
+	acknowledgeable := h.cell.change
+	for round := range 6 {
+		for _, j := range h.cell.jobs {
+			h.cell.markChanged(j)
+		}
+		if round == 0 {
+			acknowledgeable = h.cell.change
+		}
+		commit, ok := h.cell.Commit()
+		assert.Assert(t, ok)
+		for _, row := range commit.Rows {
+			written[row.ID]++
+		}
+		h.cell.Committed(commit)
+	}
+	assert.Equal(t, len(written), jobs)
+	for id, n := range written {
+		assert.Equal(t, n, 2, id)
+	}
+	assert.Assert(t, h.cell.committed >= acknowledgeable, "ends whose rows are written must be acknowledged")
+}
