Keep rows and commits within the bytes that the store takes

cause: a job may have 10,000 tasks, and its progress is one row. A task takes 8 bytes in it, 24 with a checkpoint, and 57 while it is placed: 80,017 bytes for 10,000 tasks before any has started, 570,017 with all placed, where the store takes 65,536. A commit of 90 rows may also exceed the 1 MB of a transaction. The store rejects both for good. ruled out: several rows a job: it changes the format of what an owner loads. change: a job has no more tasks placed at a time than fit into its row; one that cannot be stored at all is refused when it is submitted; a finished task keeps no checkpoint in the row; a commit ends before it has 600,000 bytes. before: TestRowsAndCommitsFitIntoTheStore fails with a row of 120,024 bytes, and with a commit of 901,920 bytes; TestJobOfTooManyTasksIsNotSubmitted fails. after: go test ./pkg/scheduler ./pkg/controller and TestStepsUnderFaults pass; guards rows-fit-into-the-store, commits-fit-into-the-store and unstorable-job-is-refused are red. conclusion: up to about 800 placed tasks of a job of 1,000 nothing changes. The size of a row is a constant; a store that takes less rejects the row, which now blocks no other job.

--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -63,6 +63,13 @@
 // committed, also by an earlier request, or if the id has a tombstone; the job is
 // then cancelled.
 func (e *Entry) Submit(ctx context.Context, spec scheduler.Spec) error {
+	if err := spec.CheckSize(); err != nil {
+		e.refused.Add(1)
+		return &NotAcceptedError{
+			Reason:     err.Error(),
+			RetryAfter: retryAfter,
+		}
+	}
 	if v := e.cachedJob(ctx, spec.ID); v.hasSpec {
 		return nil
 	}
--- a/pkg/controller/owner_writes_test.go
+++ b/pkg/controller/owner_writes_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -175,3 +176,18 @@
 	assert.Equal(t, len(written), 29)
 	assert.Assert(t, h.entry.owner.lease.Valid(h.now), "the lease is renewed")
 }
+
+// A job whose progress can never be stored must be refused before it is stored.
+func TestJobOfTooManyTasksIsNotSubmitted(t *testing.T) {
+	h := newOwnerHarness(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := h.entry.Submit(ctx, scheduler.Spec{
+		ID: "j",
+		Steps: []scheduler.Step{{
+			Count: 10_000,
+		}},
+	})
+	var refused *NotAcceptedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+}
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -42,8 +42,8 @@
 }
 
 // Commit returns the rows that changed since the last commit, at most
-// commitLimit of them, those that changed first, and reports whether there are
-// any. It must not be called again before Committed or Rejected. The row of a job
+// commitLimit of them and maxCommitBytes, those that changed first, and reports
+// whether there are any. It must not be called again before Committed or Rejected. The row of a job
 // that was rejected is left out for rejectedRowDelay, and then written on its own.
 func (c *Cell) Commit() (Commit, bool) {
 	jobs := slices.SortedFunc(maps.Keys(c.changed), func(a, b *job) int {
@@ -62,16 +62,18 @@
 		jobs = slices.Concat(jobs[i:i+1], jobs[:i], jobs[i+1:])
 		limit = 1
 	}
-	if len(jobs) > limit {
-		commit.upTo = c.changed[jobs[limit]] - 1
-		jobs = jobs[:limit]
-	}
-	for _, j := range jobs {
+	size := 0
+	for i, j := range jobs {
 		row := Row{
 			ID:       j.spec.ID,
 			Progress: j.progress(),
 			since:    c.changed[j],
 		}
+		size += row.Progress.size()
+		if i == limit || i > 0 && size > maxCommitBytes {
+			commit.upTo = c.changed[j] - 1
+			break
+		}
 		delete(c.changed, j)
 		for _, t := range j.tasks() {
 			if t.runner != nil {
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -70,6 +70,9 @@
 		if !t.pending(now) {
 			continue
 		}
+		if w.job.placed >= w.job.maxPlaced {
+			return
+		}
 		s := c.chooseRunner(now, w, t, nil)
 		if s == nil {
 			c.recordFullRunners(w)
@@ -237,6 +240,9 @@
 		}
 		run = max(run, t.run)
 	}
+	if w.job.placed+len(members) > w.job.maxPlaced {
+		return
+	}
 	if change := c.fullUpTo(w); change > 0 && change == c.index.change {
 		return
 	}
--- /dev/null
+++ b/pkg/scheduler/row_size_test.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+func encodedSize(t *testing.T, p Progress) int {
+	t.Helper()
+	data, err := cbor.Marshal(p)
+	assert.NilError(t, err)
+	return len(data)
+}
+
+// The store rejects a row that is too large, so no run of its job would start, and
+// none of its ends be acknowledged.
+func TestRowsAndCommitsFitIntoTheStore(t *testing.T) {
+	agents := make([]string, 8)
+	for i := range agents {
+		agents[i] = fmt.Sprintf("255.255.255.%03d:65535", i)
+	}
+	h := newCellHarness(t, agents...)
+	for agent, r := range h.runners {
+		r.Runner.Address = agent
+		r.Runner.Key.StartedAtMillis = 1_767_225_600_000
+		r.Runner.ProcessorMillis = 1_000_000
+		r.Runner.MemoryBytes = 10_000 * gigabyte
+		h.report(agent)
+	}
+	const jobs = 24
+	for i := range jobs {
+		step := newStep(2000, 10)
+		step.LongRunning = true
+		if i%2 == 1 {
+			step.Checkpoints = true
+			step.Count = 1500
+		}
+		h.add(fmt.Sprintf("j%02d", i), "checks", step)
+	}
+	h.cell.Tick(h.now, true)
+	written := 0
+	for {
+		commit, ok := h.cell.Commit()
+		if !ok {
+			break
+		}
+		total := 0
+		for _, row := range commit.Rows {
+			size := encodedSize(t, row.Progress)
+			assert.Assert(t, size <= maxRowBytes, "the row of %s has %d bytes", row.ID, size)
+			assert.Assert(t, size <= row.Progress.size(), "%d bytes are more than the bound", size)
+			total += size
+		}
+		assert.Assert(t, total <= maxCommitBytes, "%d bytes", total)
+		written += len(commit.Rows)
+		h.cell.Committed(commit)
+	}
+	assert.Equal(t, written, jobs)
+	for _, j := range h.cell.jobs {
+		assert.Assert(t, j.placed > 100, "%d tasks are placed", j.placed)
+	}
+}
+
+// A job whose progress can never be stored must be refused when it is submitted.
+func TestJobWithTooManyTasksIsRefused(t *testing.T) {
+	plain, checkpoints, gang := newStep(5000, 10), newStep(1500, 10), newStep(800, 10)
+	checkpoints.Checkpoints = true
+	gang.Gang = true
+	for name, step := range map[string]Step{"plain": plain, "with checkpoints": checkpoints, "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			spec := Spec{
+				Steps: []Step{step},
+			}
+			assert.NilError(t, spec.CheckSize())
+			spec.Steps[0].Count = maxTasks
+			assert.ErrorContains(t, spec.CheckSize(), "tasks placed")
+			spec.Steps[0].Count = step.Count
+			spec.RunCount = 10
+			assert.ErrorContains(t, spec.CheckSize(), "tasks placed")
+		})
+	}
+}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -22,6 +22,8 @@
 	unfinished int
 	// placed counts the tasks that are placed on a runner.
 	placed int
+	// maxPlaced limits placed.
+	maxPlaced int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
 	// idleSince is since when the job has been waiting with nothing placed; it
@@ -121,10 +123,11 @@
 
 func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
-		spec:   spec,
-		seenAt: seenAt,
-		state:  StateQueued,
-		chain:  longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
+		spec:      spec,
+		maxPlaced: max(1, spec.maxPlaced()),
+		seenAt:    seenAt,
+		state:     StateQueued,
+		chain:     longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
 	for k := range spec.occurrences() {
 		due := time.UnixMilli(spec.StartAtMillis + int64(k)*spec.IntervalMillis)
@@ -230,6 +233,9 @@
 			Failures:   t.failures,
 			Checkpoint: t.checkpoint,
 		}
+		if t.done {
+			row.Checkpoint = ""
+		}
 		if t.runner != nil {
 			row.RunnerID = t.runner.key.ID
 			row.RunnerStartedAtMillis = t.runner.key.StartedAtMillis
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -84,8 +84,11 @@
 guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
 guard end-of-rejected-row-is-kept pkg/scheduler/runner_state.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
+guard rows-fit-into-the-store pkg/scheduler/placing.go 's/w.job.placed >= w.job.maxPlaced/false/' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
+guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
+guard unstorable-job-is-refused pkg/controller/jobs.go 's/spec.CheckSize\(\); err != nil/spec.CheckSize(); false/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
 guard first-changed-first-committed pkg/scheduler/commit.go 's/cmp.Compare\(c.changed\[a\], c.changed\[b\]\)/cmp.Compare(a.spec.ID, b.spec.ID)/' pkg/scheduler TestChangedJobsAreCommittedInTurn
-guard written-ends-are-acknowledged pkg/scheduler/commit.go 's/c.changed\[jobs\[limit\]\] - 1/c.committed/' pkg/scheduler TestChangedJobsAreCommittedInTurn
+guard written-ends-are-acknowledged pkg/scheduler/commit.go 's/c.changed\[j\] - 1/c.committed/' pkg/scheduler TestChangedJobsAreCommittedInTurn
 guard rejection-is-permanent platform/store.go 's/status >= consts.StatusBadRequest \&\& //; s/status < consts.StatusInternalServerError/false/' platform TestRejectedChangeIsToldFromUnavailableStore
 guard rejection-is-passed-on pkg/relayer/wire.go 's/errors.As\(err, \&resp.Rejected\), //' pkg/relayer TestRejectionIsPassedOn
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
