Skip a malformed row of a listing instead of the listing

cause: one row of a runner's listing that could not be decoded made the whole listing fail, as did a row that is no list.

--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -260,6 +260,9 @@
 
 func (a *Agent) leaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
 	a.core.LeaseRenewed(now, call, l, err)
+	if len(l.Malformed) > 0 {
+		a.log.Error("rows of a listing skipped", "runner", call.Header.Runner.ID, "rows", len(l.Malformed), "error", l.Malformed[0])
+	}
 	if err != nil || l.Refusal != "" {
 		a.log.Debug("lease not renewed", "runner", call.Header.Runner.ID, "epoch", call.Header.Epoch, "refusal", l.Refusal, "error", err)
 	}
--- a/pkg/supervisor/runner.go
+++ b/pkg/supervisor/runner.go
@@ -50,6 +50,8 @@
 	StartedAtMillis int64
 	Running         []framer.RunStatus
 	Finished        []framer.FinishedRun
+	// Malformed lists why rows of the listing were skipped.
+	Malformed []error
 }
 
 // CallHeader is the part common to all calls to a runner.
