Report a restarted runner although it refuses stops

cause: after a runner restarts under its id, its agent first stops the starts that may still arrive from before, and reports nothing until that is done.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -38,7 +38,8 @@
 	// got no response, an earlier agent may have sent it, or the runner refused
 	// it as stale.
 	mayHaveStarted bool
-	// receivedAt is when the owner first requested the command.
+	// receivedAt is when the owner first requested the command, or when the
+	// incarnation was first seen that a fence is for.
 	receivedAt time.Time
 	retryAt    time.Time
 	// verifyAfter is the number of the first lease renewal whose listing can
@@ -218,6 +219,14 @@
 	return slices.SortedFunc(maps.Keys(c.unconfirmedStarts), compareRefs)
 }
 
+// dropExpiredFences drops the fences against starts that can no longer arrive, so
+// that a runner which refuses stops is reported in the end.
+func (c *Core) dropExpiredFences(now time.Time) {
+	maps.DeleteFunc(c.commands, func(_ framer.RunRef, cmd *command) bool {
+		return cmd.fence && !cmd.requested && !cmd.inFlight && now.Sub(cmd.receivedAt) > unconfirmedStartTTL
+	})
+}
+
 // fencePending reports whether a start sent to an earlier incarnation has not
 // been stopped yet in this one.
 func (c *Core) fencePending() bool {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -202,8 +202,9 @@
 			start: framer.RunStart{
 				RunRef: ref,
 			},
-			phase: phaseStopping,
-			fence: true,
+			phase:      phaseStopping,
+			receivedAt: now,
+			fence:      true,
 		}
 	}
 }
@@ -234,6 +235,7 @@
 
 // Tick returns the actions that are due and the time until the next call.
 func (c *Core) Tick(now time.Time) ([]Action, time.Duration) {
+	c.dropExpiredFences(now)
 	c.sendCommands(now)
 	c.renewLease(now)
 	c.adjustSpeeds(now)
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -446,3 +446,32 @@
 	h.answerRenewal(1600, Listing{})
 	assert.Assert(t, h.reportedNeverStarted(one))
 }
+
+// A runner that refuses the stops which its agent sends it after a restart must
+// not stay unknown to the owner for ever.
+func TestRestartedRunnerThatRefusesStopsIsReported(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           starts(one),
+		LeaseUntilMillis: 7000,
+	})
+	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
+	h.heartbeat("i-1", 6000, false)
+	refuseStops := func(d time.Duration) {
+		for end := h.now.Add(d); h.now.Before(end); h.advance(retryBackoff) {
+			for h.countOpen(isStop) > 0 {
+				h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
+					Refusal: RefusalUnhealthy,
+				}, nil)
+			}
+		}
+	}
+	reported := func() bool { return h.reports[len(h.reports)-1].Runner.Key == h.key }
+	refuseStops(unconfirmedStartTTL - time.Second)
+	assert.Assert(t, !reported(), "the start to the earlier incarnation may still arrive")
+	refuseStops(2 * time.Second)
+	assert.Assert(t, reported())
+	assert.Equal(t, h.countOpen(isStop), 0)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -61,6 +61,7 @@
 steps='TestStepsUnderFaults'
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
+guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
