Accept a runner whose start time stepped back

cause: an agent ignores heartbeats with an earlier start time than the one it knows, since they may be late. The start time is a time of day. Tasks of the former incarnation still wait for its lease, as the owner cannot tell which of the two is newer.

--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -33,6 +33,11 @@
 	// maxStartHold is how long a start is held back, for want of a lease or of a
 	// recent listing, before the agent gives it back to the owner.
 	maxStartHold = time.Second
+	// maxHeartbeatSilence is how long the known incarnation sends no heartbeat
+	// before one with an earlier start time may replace it, and minHeartbeats how
+	// many heartbeats that one must have sent.
+	maxHeartbeatSilence = 4 * time.Second
+	minHeartbeats       = 3
 	// maxCallsInFlight bounds the concurrent start and stop calls to the runner.
 	maxCallsInFlight = 16
 )
@@ -80,6 +85,10 @@
 	runner            framer.RunnerInfo
 	known             bool
 	heartbeatSequence int64
+	// heartbeatAt is the time of the last accepted heartbeat, and rival the
+	// incarnation with an earlier start time that sent the last other one.
+	heartbeatAt time.Time
+	rival       rival
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
 	// none yet.
 	clockMillis int64
@@ -146,11 +155,15 @@
 
 // Heartbeat processes a heartbeat of the runner and reports whether it was
 // accepted. A heartbeat of an earlier incarnation, or one that arrives out of
-// order, is ignored.
+// order, is ignored. The start time is a time of day and may have been stepped
+// back, so an incarnation with an earlier one is accepted in the end.
 func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
 	key := b.Info.Key
 	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis {
-		return false
+		c.rival.record(b)
+		if c.rival.heartbeats < minHeartbeats || now.Sub(c.heartbeatAt) < maxHeartbeatSilence {
+			return false
+		}
 	}
 	sameIncarnation := c.known && key == c.runner.Key
 	if sameIncarnation && b.Sequence <= c.heartbeatSequence {
@@ -159,6 +172,8 @@
 	if !sameIncarnation {
 		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
 	}
+	c.heartbeatAt = now
+	c.rival = rival{}
 	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining
 	c.known = true
 	c.runner = b.Info
@@ -169,6 +184,26 @@
 	return true
 }
 
+// rival is an incarnation with an earlier start time than the known one.
+type rival struct {
+	key      framer.RunnerKey
+	sequence int64
+	// heartbeats counts the heartbeats that arrived in order.
+	heartbeats int
+}
+
+func (r *rival) record(b Heartbeat) {
+	if r.key != b.Info.Key {
+		*r = rival{
+			key: b.Info.Key,
+		}
+	}
+	if b.Sequence > r.sequence {
+		r.sequence = b.Sequence
+		r.heartbeats++
+	}
+}
+
 // RunnerLeft records that the runner has left.
 func (c *Core) RunnerLeft(now time.Time, id string) {
 	if c.known && c.runner.Key.ID == id {
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -475,3 +475,49 @@
 	assert.Assert(t, reported())
 	assert.Equal(t, h.countOpen(isStop), 0)
 }
+
+// A runner whose time of day stepped back before its restart must not be ignored
+// for as long as it runs.
+func TestRunnerWithEarlierStartTimeIsAccepted(t *testing.T) {
+	heartbeat := func(h *coreHarness, id string, startedAt, sequence int64) bool {
+		return h.core.Heartbeat(h.now, Heartbeat{
+			Info: framer.RunnerInfo{
+				Key: framer.RunnerKey{
+					ID:              id,
+					StartedAtMillis: startedAt,
+				},
+			},
+			Sequence: sequence,
+		})
+	}
+	t.Run("once the known incarnation is silent and it sends heartbeats again and again", func(t *testing.T) {
+		h := newCoreHarness(t)
+		accepted := time.Duration(0)
+		for i := range int64(20) {
+			if heartbeat(h, "i-1", 4000, i+1) {
+				break
+			}
+			accepted += 500 * time.Millisecond
+			h.advance(500 * time.Millisecond)
+		}
+		assert.Equal(t, accepted, maxHeartbeatSilence)
+		runner, _ := h.core.Runner()
+		assert.Equal(t, runner.Key.StartedAtMillis, int64(4000))
+	})
+	t.Run("but not while the known incarnation sends heartbeats", func(t *testing.T) {
+		h := newCoreHarness(t)
+		for i := range int64(20) {
+			assert.Assert(t, !heartbeat(h, "i-1", 4000, i+1))
+			h.advance(500 * time.Millisecond)
+			h.heartbeat("i-1", 5000, false)
+		}
+	})
+	t.Run("nor after a few late heartbeats, or repeated ones", func(t *testing.T) {
+		h := newCoreHarness(t)
+		h.advance(10 * time.Second)
+		for range 10 {
+			assert.Assert(t, !heartbeat(h, "i-1", 4000, 7))
+			assert.Assert(t, !heartbeat(h, "i-0", 3000, 9))
+		}
+	})
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -61,6 +61,8 @@
 steps='TestStepsUnderFaults'
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
+guard stepped-back-runner-is-accepted pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| /true || /' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
+guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
