--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -16,8 +16,10 @@
 		return
 	}
 	o.loading = true
+	epoch := o.lease.Epoch()
 	e.group.Go(func() error {
 		rows, err := e.readCell(e.ctx)
+		rows.epoch = epoch
 		e.loop.Post(func(now time.Time) { e.cellLoaded(now, rows, err) })
 		return nil
 	})
@@ -25,6 +27,8 @@
 
 // cellRows are all rows that a new owner reads.
 type cellRows struct {
+	// epoch is the epoch under which the cell was owned when the read began.
+	epoch   uint64
 	jobs    []storer.PartitionedRow
 	cell    []storer.PartitionedRow
 	members []storer.PartitionedRow
@@ -52,13 +56,18 @@
 }
 
 // cellLoaded builds the cell from its rows, or reads them again if the read
-// failed.
+// failed or began before the cell was last acquired.
 func (e *Entry) cellLoaded(now time.Time, rows cellRows, err error) {
 	o := &e.owner
 	o.loading = false
 	if !o.lease.Held() {
 		return
 	}
+	if rows.epoch != o.lease.Epoch() {
+		// Another process owned the cell meanwhile and may have written rows.
+		e.loadCell()
+		return
+	}
 	if err != nil {
 		e.log.Warn("cell read failed", "error", err)
 		e.group.Go(func() error {
--- a/pkg/controller/owner_writes_test.go
+++ b/pkg/controller/owner_writes_test.go
@@ -58,7 +58,9 @@
 	e.cellChanged(h.now, nil)
 	e.manageCell(h.now)
 	h.confirm()
-	e.cellLoaded(h.now, cellRows{}, nil)
+	e.cellLoaded(h.now, cellRows{
+		epoch: e.owner.lease.Epoch(),
+	}, nil)
 	assert.Assert(t, e.owner.cell != nil)
 	return h
 }
