Place the tasks of a dropped queue on its last service

cause: the jobs of a queue that was dropped were placed on the service that it had when they were accepted. If the queue had moved since, that service may have no runner left, and their tasks waited for ever. ruled out, by TestTaskFollowsItsQueue and TestRunnerChangesItsService: a queue that moves while a task runs, waits or has found all runners full; one that is dropped, or dropped and returns elsewhere; an older configuration; a runner that changes its service without a restart. change: each version of the queues keeps the last services of those that were dropped; all entries read them, so the next owner knows them too. before: the case "the queue moves, then is dropped" starts nothing. after: go test ./pkg/scheduler ./pkg/controller passes; guards dropped-queue-keeps-its-service and next-version-succeeds are red. conclusion: an entry that started after the queue was dropped still uses the service at acceptance.

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -258,6 +258,7 @@
 		if queues == nil || e.queues != nil && queues.Version <= e.queues.Version {
 			continue
 		}
+		queues.Succeed(e.queues)
 		e.queues = queues
 		e.configured.Store(queues)
 		if e.owner.cell != nil {
--- a/pkg/controller/loading_test.go
+++ b/pkg/controller/loading_test.go
@@ -121,3 +121,27 @@
 		assert.Assert(t, h.entry.owner.cell.HasJob("j"))
 	})
 }
+
+// The next owner must know the last service of a queue that was dropped.
+func TestDroppedQueueKeepsItsLastService(t *testing.T) {
+	h := newOwnerHarness(t)
+	h.entry.deps.DecodeQueues = func(row storer.PartitionedRow) (*scheduler.Queues, error) {
+		q := &scheduler.Queues{
+			Version: int64(row.Version),
+		}
+		if len(row.Value) > 0 {
+			q.List = []scheduler.Queue{{
+				Name:    "checks",
+				Service: string(row.Value),
+			}}
+		}
+		return q, nil
+	}
+	for i, service := range []string{"polls", "moved", ""} {
+		h.entry.queuesChanged(h.now, []storer.PartitionedRow{{
+			Version: uint64(i + 1),
+			Value:   []byte(service),
+		}})
+	}
+	assert.Equal(t, h.entry.Queues().ServiceOf("checks", "polls"), "moved")
+}
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -315,10 +315,7 @@
 }
 
 func (c *Cell) service(j *job) string {
-	if q := c.queue(j); q != nil {
-		return q.Service
-	}
-	return j.spec.Service
+	return c.queues.ServiceOf(j.spec.Queue, j.spec.Service)
 }
 
 // Tick releases the runs of runners whose leases have expired and, if mayPlace
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -154,6 +155,35 @@
 	List    []Queue
 	// MaxBodyBytes limits the size of a caller's request body.
 	MaxBodyBytes int
+	// former holds the last service of each queue that earlier versions had and
+	// this one lacks. Its jobs are still to be run.
+	former map[string]string
+}
+
+// Succeed records the queues of an earlier version that this one lacks.
+func (q *Queues) Succeed(earlier *Queues) {
+	if earlier == nil {
+		return
+	}
+	q.former = maps.Clone(earlier.former)
+	if q.former == nil {
+		q.former = map[string]string{}
+	}
+	for i := range earlier.List {
+		q.former[earlier.List[i].Name] = earlier.List[i].Service
+	}
+}
+
+// ServiceOf returns the service of the queue with the given name, or its last one
+// if it was dropped; otherwise is the service if no known version has the queue.
+func (q *Queues) ServiceOf(name, otherwise string) string {
+	if queue := q.Named(name); queue != nil {
+		return queue.Service
+	}
+	if service, ok := q.former[name]; ok {
+		return service
+	}
+	return otherwise
 }
 
 // Match returns the queue for a request's host and path, and the path without
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -86,6 +86,8 @@
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
 guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
+guard dropped-queue-keeps-its-service pkg/scheduler/job.go 's/if service, ok := q.former\[name\]; ok/if service, ok := q.former[name]; false \&\& ok/' pkg/scheduler TestTaskFollowsItsQueue
+guard next-version-succeeds pkg/controller/entry.go 's/queues.Succeed\(e.queues\)//' pkg/controller TestDroppedQueueKeepsItsLastService
 guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
 guard end-of-rejected-row-is-kept pkg/scheduler/runner_state.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
