--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -56,13 +56,19 @@
 	agents map[string]*runnerState
 	// unplaced lists the jobs with tasks that are neither done nor placed.
 	unplaced []*job
-	changed  map[*job]struct{}
+	// changed holds the jobs whose rows must be written, each with the number of
+	// its first change since its row was last written.
+	changed map[*job]uint64
 	// change is the number of the last change to a job row; all changes up to
 	// committed are persisted.
 	change    uint64
 	committed uint64
 	// requiredEpoch is the epoch to which the owner must raise its own.
 	requiredEpoch uint64
+	// commitLimit is the largest number of rows in the next commit; rejected
+	// lists the jobs whose rows the store rejected.
+	commitLimit int
+	rejected    []*job
 	// interference is the learned model of how co-located tasks slow one
 	// another.
 	interference *interference
@@ -109,7 +115,8 @@
 		index:        newRunnerIndex(),
 		syncs:        &syncQueue{},
 		agents:       map[string]*runnerState{},
-		changed:      map[*job]struct{}{},
+		changed:      map[*job]uint64{},
+		commitLimit:  maxCommitRows,
 		interference: models,
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
@@ -302,7 +309,9 @@
 // markChanged records that a job's row must be written.
 func (c *Cell) markChanged(j *job) {
 	c.change++
-	c.changed[j] = struct{}{}
+	if _, changed := c.changed[j]; !changed {
+		c.changed[j] = c.change
+	}
 }
 
 func (c *Cell) bind(s *runnerState, t *task) {
@@ -320,6 +329,8 @@
 	t.startSent = false
 	t.confirmed = false
 	t.listed = false
+	t.listedIn = 0
+	t.missing = missing{}
 	t.percent = 0
 	t.stalledFor = 0
 	t.stopping = false
@@ -332,10 +343,7 @@
 }
 
 func (c *Cell) service(j *job) string {
-	if q := c.queue(j); q != nil {
-		return q.Service
-	}
-	return j.spec.Service
+	return c.queues.ServiceOf(j.spec.Queue, j.spec.Service)
 }
 
 // Tick releases the runs of runners whose leases have expired and, if mayPlace
@@ -345,6 +353,7 @@
 		c.expiryCheckedAt = now
 		c.expireLeases(now)
 		c.watchWaits(now)
+		c.retryRejected(now)
 	}
 	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -45,8 +45,15 @@
 		if e.Reason != framer.FinishNeverStarted && e.Sequence <= s.recordedSequence {
 			continue
 		}
+		var j *job
+		if t := c.taskByName(e.Task); t != nil {
+			j = t.job
+		}
 		c.runFinished(now, s, e)
-		s.recordFinished(e.Sequence, c.change)
+		s.recordFinished(e.Sequence, c.change, j)
+	}
+	if listed {
+		c.stopMissing(now, s)
 	}
 	s.ackCommitted(c.committed)
 }
@@ -217,7 +224,7 @@
 	}
 	c.confirm(s, status.RunRef)
 	t.listed = true
-	t.listedAt = s.listedAt
+	t.listedIn = s.listings
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -22,6 +22,8 @@
 	unfinished int
 	// placed counts the tasks that are placed on a runner.
 	placed int
+	// maxPlaced limits placed.
+	maxPlaced int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
 	// idleSince is since when the job has been waiting with nothing placed; it
@@ -31,7 +33,11 @@
 	waitedLong bool
 	// failedOn lists the runners on which a run of the job failed.
 	failedOn []string
-	endedAt  time.Time
+	// rejected is set while the job's last row was rejected, and rejectedUntil
+	// is the time before which it is not written again.
+	rejected      bool
+	rejectedUntil time.Time
+	endedAt       time.Time
 	// chain is the duration of the longest chain of steps, by the caller's
 	// estimates.
 	chain time.Duration
@@ -72,6 +78,10 @@
 	confirmed bool
 	// listed is set once this incarnation of the runner has listed the run.
 	listed bool
+	// listedIn is the number of the runner's last listing with the run, and
+	// missing counts the listings without it since then.
+	listedIn int
+	missing  missing
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
@@ -85,8 +95,6 @@
 	notBefore time.Time
 	// avoid lists the runners on which the task failed or stalled.
 	avoid []string
-	// listedAt is when the runner last listed the run.
-	listedAt time.Time
 	// waitingSince is since when the task should run and does not, to within
 	// waitSweepInterval; it is zero while the task runs.
 	waitingSince time.Time
@@ -118,10 +126,11 @@
 
 func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
-		spec:   spec,
-		seenAt: seenAt,
-		state:  StateQueued,
-		chain:  longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
+		spec:      spec,
+		maxPlaced: max(1, spec.maxPlaced()),
+		seenAt:    seenAt,
+		state:     StateQueued,
+		chain:     longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
 	for k := range spec.occurrences() {
 		due := time.UnixMilli(spec.StartAtMillis + int64(k)*spec.IntervalMillis)
@@ -227,6 +236,9 @@
 			Failures:   t.failures,
 			Checkpoint: t.checkpoint,
 		}
+		if t.done {
+			row.Checkpoint = ""
+		}
 		if t.runner != nil {
 			row.RunnerID = t.runner.key.ID
 			row.RunnerStartedAtMillis = t.runner.key.StartedAtMillis
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -132,7 +132,7 @@
 		return causeStartNotAccepted
 	case !t.listed:
 		return causeNotListed
-	case t.listedAt.Before(s.listedAt):
+	case t.listedIn != s.listings:
 		return causeNoLongerListed
 	default:
 		return causeNone
--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
@@ -36,7 +38,10 @@
 	// got no response, an earlier agent may have sent it, or the runner refused
 	// it as stale.
 	mayHaveStarted bool
-	retryAt        time.Time
+	// receivedAt is when the owner first requested the command, or when the
+	// incarnation was first seen that a fence is for.
+	receivedAt time.Time
+	retryAt    time.Time
 	// verifyAfter is the number of the first lease renewal whose listing can
 	// resolve the command.
 	verifyAfter uint64
@@ -56,6 +61,7 @@
 			cmd = &command{
 				start:          start,
 				phase:          phaseStarting,
+				receivedAt:     now,
 				mayHaveStarted: start.Repeated,
 			}
 			c.commands[start.RunRef] = cmd
@@ -117,6 +123,9 @@
 		// The owner grants a lease after it has received a reading of the
 		// runner's clock, and a runner that stopped responding may come back
 		// as another incarnation.
+		if !cmd.mayHaveStarted && now.Sub(cmd.receivedAt) >= maxStartHold {
+			c.abandonStart(now, cmd)
+		}
 		return
 	}
 	cmd.inFlight = true
@@ -141,12 +150,16 @@
 }
 
 // StartAnswered processes the result of a start call; err is set if there was
-// no response.
+// no response. Unless it is a *NotSentError, the call may still be carried out.
 func (c *Core) StartAnswered(now time.Time, call StartCall, a Answer, err error) {
 	c.callsInFlight--
 	cmd := c.commands[call.Start.RunRef]
+	var notSent *NotSentError
+	mayArrive := err != nil && !errors.As(err, &notSent)
 	if err != nil {
 		c.Counts.Unanswered++
+	}
+	if mayArrive {
 		c.unconfirmedStarts[call.Start.RunRef] = now
 	}
 	if cmd == nil || call.Header.Runner != c.runner.Key {
@@ -158,7 +171,7 @@
 		return
 	}
 	if err != nil {
-		cmd.mayHaveStarted = true
+		cmd.mayHaveStarted = cmd.mayHaveStarted || mayArrive
 		cmd.retryAt = now.Add(retryBackoff)
 		return
 	}
@@ -206,6 +219,14 @@
 	return slices.SortedFunc(maps.Keys(c.unconfirmedStarts), compareRefs)
 }
 
+// dropExpiredFences drops the fences against starts that can no longer arrive, so
+// that a runner which refuses stops is reported in the end.
+func (c *Core) dropExpiredFences(now time.Time) {
+	maps.DeleteFunc(c.commands, func(_ framer.RunRef, cmd *command) bool {
+		return cmd.fence && !cmd.requested && !cmd.inFlight && now.Sub(cmd.receivedAt) > unconfirmedStartTTL
+	})
+}
+
 // fencePending reports whether a start sent to an earlier incarnation has not
 // been stopped yet in this one.
 func (c *Core) fencePending() bool {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -33,6 +33,9 @@
 	// maxUnansweredRenewals is how many lease renewals in a row may get no
 	// response before the runner is reported as unanswering. One may be lost.
 	maxUnansweredRenewals = 2
+	// maxStartHold is how long a start is held back, for want of a lease or of a
+	// recent listing, before the agent gives it back to the owner.
+	maxStartHold = time.Second
 	// maxCallsInFlight bounds the concurrent start and stop calls to the runner.
 	maxCallsInFlight = 16
 )
@@ -83,6 +86,10 @@
 	// answeredBy is the start time of another incarnation than the known one
 	// that answered a call to it, or 0 if none did.
 	answeredBy int64
+	// heartbeatAt is the time of the last accepted heartbeat, and rival the
+	// incarnation with an earlier start time that sent the last other one.
+	heartbeatAt time.Time
+	rival       rival
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
 	// none yet.
 	clockMillis int64
@@ -151,74 +158,6 @@
 	return c.epoch
 }
 
-// Heartbeat processes a heartbeat of the runner and reports whether it was
-// accepted. A heartbeat of an earlier incarnation, or one that arrives out of
-// order, is ignored. An incarnation that answers calls is not an earlier one,
-// even if it has the lower start time: the time of day may have been set back.
-func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
-	key := b.Info.Key
-	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis && key.StartedAtMillis != c.answeredBy {
-		return false
-	}
-	sameIncarnation := c.known && key == c.runner.Key
-	if sameIncarnation && b.Sequence <= c.heartbeatSequence {
-		return false
-	}
-	if !sameIncarnation {
-		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
-	}
-	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining
-	c.known = true
-	c.runner = b.Info
-	c.heartbeatSequence = b.Sequence
-	if changed {
-		c.nextReport = now
-	}
-	return true
-}
-
-// RunnerLeft records that the runner has left.
-func (c *Core) RunnerLeft(now time.Time, id string) {
-	if c.known && c.runner.Key.ID == id {
-		c.runner.Left = true
-		c.runner.Draining = true
-		c.nextReport = now
-	}
-}
-
-// resetForIncarnation discards the state of an earlier incarnation of the
-// runner. Starts without a response may still reach a new incarnation with the
-// same id, so they are stopped there before anything is reported about it.
-func (c *Core) resetForIncarnation(now time.Time, sameID bool) {
-	fences := c.recentUnconfirmedStarts(now)
-	if !sameID {
-		fences = nil
-	}
-	c.Counts.RunnerIncarnations++
-	c.answeredBy = 0
-	c.clockMillis = 0
-	c.listedAt = time.Time{}
-	c.listedEpoch = 0
-	c.unansweredRenewals = 0
-	c.ackedSequence = 0
-	c.deliveredAckSequence = 0
-	c.leaseUntilMillis = 0
-	c.running = nil
-	c.finished = nil
-	c.commands = map[framer.RunRef]*command{}
-	c.throttler = newThrottler()
-	c.nextRenewal = time.Time{}
-	for _, ref := range fences {
-		c.commands[ref] = &command{
-			start: framer.RunStart{
-				RunRef: ref,
-			},
-			phase: phaseStopping,
-			fence: true,
-		}
-	}
-}
-
 // SyncReceived applies a sync frame of an owner. It returns false if the epoch
 // of the sender is below the highest epoch received.
 func (c *Core) SyncReceived(now time.Time, s framer.Sync) bool {
@@ -245,6 +184,7 @@
 
 // Tick returns the actions that are due and the time until the next call.
 func (c *Core) Tick(now time.Time) ([]Action, time.Duration) {
+	c.dropExpiredFences(now)
 	c.sendCommands(now)
 	c.renewLease(now)
 	c.adjustSpeeds(now)
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -393,3 +394,171 @@
 		assert.Equal(t, h.takeAction(isRenewal).Renew.Wait, time.Duration(0))
 	})
 }
+
+// A run that was placed on a runner just before the runner went silent must not
+// wait there for the runner's lease: the agent never requested its start.
+func TestHeldStartIsAbandoned(t *testing.T) {
+	one := ref("a.0.0.0")
+	silentRunner := func(t *testing.T, list []framer.RunStart) *coreHarness {
+		t.Helper()
+		h := newCoreHarness(t)
+		h.answerRenewal(1000, Listing{})
+		h.advance(listingTTL + time.Millisecond)
+		h.sync(framer.Sync{
+			Starts:           list,
+			LeaseUntilMillis: 11_000,
+		})
+		return h
+	}
+	t.Run("a start that was never sent is reported as never started", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold)
+		assert.Assert(t, h.reportedNeverStarted(one))
+		assert.Equal(t, h.countOpen(isStart), 0)
+	})
+	t.Run("the runner may answer again soon", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold / 2)
+		h.answerRenewal(3000, Listing{})
+		assert.Equal(t, h.countOpen(isStart), 1)
+	})
+	t.Run("a start that may have been sent is not reported", func(t *testing.T) {
+		repeated := starts(one)
+		repeated[0].Repeated = true
+		h := silentRunner(t, repeated)
+		h.advance(5 * time.Second)
+		assert.Assert(t, !h.reportedNeverStarted(one))
+	})
+	t.Run("a start that was abandoned is not sent later", func(t *testing.T) {
+		h := silentRunner(t, starts(one))
+		h.advance(maxStartHold)
+		h.answerRenewal(3000, Listing{})
+		assert.Equal(t, h.countOpen(isStart), 0)
+	})
+}
+
+// A start call that never reached the runner, since the runner is gone, cannot be
+// carried out later: nothing has to wait for the lease.
+func TestStartThatWasNotSentIsGivenBack(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           starts(one),
+		LeaseUntilMillis: 11_000,
+	})
+	for range 60 {
+		if h.countOpen(isStart) > 0 {
+			h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errors.Wrap(&NotSentError{
+				Cause: "connection refused",
+			}, "starting a run"))
+		}
+		h.advance(retryBackoff)
+	}
+	assert.Assert(t, h.reportedNeverStarted(one))
+	assert.Equal(t, len(h.core.recentUnconfirmedStarts(h.now)), 0, "no later incarnation can carry it out")
+}
+
+// A runner lists its ends in portions. A run whose end is in a later portion must
+// not count as never started, since it would start a second time.
+func TestFullListingDoesNotResolveStop(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Stops:            []framer.RunRef{one},
+		LeaseUntilMillis: 7000,
+	})
+	h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{}, nil)
+	h.tick()
+	var full Listing
+	for i := range maxListedEnds {
+		full.Finished = append(full.Finished, framer.FinishedRun{
+			RunRef:   ref(fmt.Sprintf("b.0.0.%d", i)),
+			Sequence: int64(i + 1),
+			Reason:   framer.FinishDone,
+		})
+	}
+	for range 3 {
+		h.advance(renewBackoff)
+		h.answerRenewal(1500, full)
+	}
+	assert.Assert(t, !h.reportedNeverStarted(one))
+	h.answerRenewal(1600, Listing{})
+	assert.Assert(t, h.reportedNeverStarted(one))
+}
+
+// A runner that refuses the stops which its agent sends it after a restart must
+// not stay unknown to the owner for ever.
+func TestRestartedRunnerThatRefusesStopsIsReported(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           starts(one),
+		LeaseUntilMillis: 7000,
+	})
+	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
+	h.heartbeat("i-1", 6000, false)
+	refuseStops := func(d time.Duration) {
+		for end := h.now.Add(d); h.now.Before(end); h.advance(retryBackoff) {
+			for h.countOpen(isStop) > 0 {
+				h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
+					Refusal: RefusalUnhealthy,
+				}, nil)
+			}
+		}
+	}
+	reported := func() bool { return h.reports[len(h.reports)-1].Runner.Key == h.key }
+	refuseStops(unconfirmedStartTTL - time.Second)
+	assert.Assert(t, !reported(), "the start to the earlier incarnation may still arrive")
+	refuseStops(2 * time.Second)
+	assert.Assert(t, reported())
+	assert.Equal(t, h.countOpen(isStop), 0)
+}
+
+// A runner whose time of day stepped back before its restart must not be ignored
+// for as long as it runs.
+func TestRunnerWithEarlierStartTimeIsAccepted(t *testing.T) {
+	heartbeat := func(h *coreHarness, id string, startedAt, sequence int64) bool {
+		return h.core.Heartbeat(h.now, Heartbeat{
+			Info: framer.RunnerInfo{
+				Key: framer.RunnerKey{
+					ID:              id,
+					StartedAtMillis: startedAt,
+				},
+			},
+			Sequence: sequence,
+		})
+	}
+	t.Run("once the known incarnation is silent and it sends heartbeats again and again", func(t *testing.T) {
+		h := newCoreHarness(t)
+		accepted := time.Duration(0)
+		for i := range int64(20) {
+			if heartbeat(h, "i-1", 4000, i+1) {
+				break
+			}
+			accepted += 500 * time.Millisecond
+			h.advance(500 * time.Millisecond)
+		}
+		assert.Equal(t, accepted, maxHeartbeatSilence)
+		runner, _ := h.core.Runner()
+		assert.Equal(t, runner.Key.StartedAtMillis, int64(4000))
+	})
+	t.Run("but not while the known incarnation sends heartbeats", func(t *testing.T) {
+		h := newCoreHarness(t)
+		for i := range int64(20) {
+			assert.Assert(t, !heartbeat(h, "i-1", 4000, i+1))
+			h.advance(500 * time.Millisecond)
+			h.heartbeat("i-1", 5000, false)
+		}
+	})
+	t.Run("nor after a few late heartbeats, or repeated ones", func(t *testing.T) {
+		h := newCoreHarness(t)
+		h.advance(10 * time.Second)
+		for range 10 {
+			assert.Assert(t, !heartbeat(h, "i-1", 4000, 7))
+			assert.Assert(t, !heartbeat(h, "i-0", 3000, 9))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/supervisor/heartbeat.go
@@ -0,0 +1,116 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+const (
+	// maxHeartbeatSilence is how long the known incarnation sends no heartbeat
+	// before one with an earlier start time may replace it, and minHeartbeats how
+	// many heartbeats that one must have sent.
+	maxHeartbeatSilence = 4 * time.Second
+	minHeartbeats       = 3
+)
+
+// rival is an incarnation with an earlier start time than the known one.
+type rival struct {
+	key      framer.RunnerKey
+	sequence int64
+	// heartbeats counts the heartbeats that arrived in order.
+	heartbeats int
+}
+
+func (r *rival) record(b Heartbeat) {
+	if r.key != b.Info.Key {
+		*r = rival{
+			key: b.Info.Key,
+		}
+	}
+	if b.Sequence > r.sequence {
+		r.sequence = b.Sequence
+		r.heartbeats++
+	}
+}
+
+// Heartbeat processes a heartbeat of the runner and reports whether it was
+// accepted. A heartbeat of an earlier incarnation, or one that arrives out of
+// order, is ignored.
+func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
+	key := b.Info.Key
+	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis && !c.replacesKnown(now, b) {
+		return false
+	}
+	sameIncarnation := c.known && key == c.runner.Key
+	if sameIncarnation && b.Sequence <= c.heartbeatSequence {
+		return false
+	}
+	if !sameIncarnation {
+		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
+	}
+	c.heartbeatAt = now
+	c.rival = rival{}
+	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining
+	c.known = true
+	c.runner = b.Info
+	c.heartbeatSequence = b.Sequence
+	if changed {
+		c.nextReport = now
+	}
+	return true
+}
+
+// replacesKnown reports whether an incarnation with an earlier start time than
+// the known one is the later one. The start time is a time of day, which may have
+// been set back. The incarnation is the later one if it answers calls, or if only
+// it has sent heartbeats for some time.
+func (c *Core) replacesKnown(now time.Time, b Heartbeat) bool {
+	c.rival.record(b)
+	answers := b.Info.Key.StartedAtMillis == c.answeredBy
+	alone := c.rival.heartbeats >= minHeartbeats && now.Sub(c.heartbeatAt) >= maxHeartbeatSilence
+	return answers || alone
+}
+
+// RunnerLeft records that the runner has left.
+func (c *Core) RunnerLeft(now time.Time, id string) {
+	if c.known && c.runner.Key.ID == id {
+		c.runner.Left = true
+		c.runner.Draining = true
+		c.nextReport = now
+	}
+}
+
+// resetForIncarnation discards the state of an earlier incarnation of the
+// runner. Starts without a response may still reach a new incarnation with the
+// same id, so they are stopped there before anything is reported about it.
+func (c *Core) resetForIncarnation(now time.Time, sameID bool) {
+	fences := c.recentUnconfirmedStarts(now)
+	if !sameID {
+		fences = nil
+	}
+	c.Counts.RunnerIncarnations++
+	c.answeredBy = 0
+	c.clockMillis = 0
+	c.listedAt = time.Time{}
+	c.listedEpoch = 0
+	c.unansweredRenewals = 0
+	c.ackedSequence = 0
+	c.deliveredAckSequence = 0
+	c.leaseUntilMillis = 0
+	c.running = nil
+	c.finished = nil
+	c.commands = map[framer.RunRef]*command{}
+	c.throttler = newThrottler()
+	c.nextRenewal = time.Time{}
+	for _, ref := range fences {
+		c.commands[ref] = &command{
+			start: framer.RunStart{
+				RunRef: ref,
+			},
+			phase:      phaseStopping,
+			receivedAt: now,
+			fence:      true,
+		}
+	}
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -61,8 +61,16 @@
 steps='TestStepsUnderFaults'
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
+guard stepped-back-runner-is-accepted pkg/supervisor/heartbeat.go "s/return answers \|\| alone/return answers/" pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
+guard late-heartbeats-replace-no-runner pkg/supervisor/heartbeat.go "s/alone := c.rival.heartbeats >= minHeartbeats \guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted\guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted /alone := /" pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
+guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
+guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
+guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
+guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
+guard only-failed-dials-are-unsent pkg/server/server.go 's/ \&\& op.Op == "dial"//' platform TestCallToMissingRunnerIsNotSent
+guard malformed-row-hides-no-run platform/runner.go 's/^\t\t\tcontinue$/\t\t\tbreak/' platform TestMalformedRowOfListingIsSkipped
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
-guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].change <= committed//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
+guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
 guard lost-runner-waits-for-its-lease pkg/scheduler/cell.go 's/if !now.After\(s.leaseEnd\) .*\{/if s.agent != "" {/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
@@ -92,10 +100,25 @@
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
+guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
+guard dropped-queue-keeps-its-service pkg/scheduler/job.go 's/if service, ok := q.former\[name\]; ok/if service, ok := q.former[name]; false \&\& ok/' pkg/scheduler TestTaskFollowsItsQueue
+guard next-version-succeeds pkg/controller/entry.go 's/queues.Succeed\(e.queues\)//' pkg/controller TestDroppedQueueKeepsItsLastService
+guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
+guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
+guard end-of-rejected-row-is-kept pkg/scheduler/runner_state.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
+guard rows-fit-into-the-store pkg/scheduler/placing.go 's/w.job.placed >= w.job.maxPlaced/false/' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
+guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
+guard unstorable-job-is-refused pkg/controller/jobs.go 's/spec.CheckSize\(\); err != nil/spec.CheckSize(); false/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
+guard first-changed-first-committed pkg/scheduler/commit.go 's/cmp.Compare\(c.changed\[a\], c.changed\[b\]\)/cmp.Compare(a.spec.ID, b.spec.ID)/' pkg/scheduler TestChangedJobsAreCommittedInTurn
+guard written-ends-are-acknowledged pkg/scheduler/commit.go 's/c.changed\[j\] - 1/c.committed/' pkg/scheduler TestChangedJobsAreCommittedInTurn
+guard rejection-is-permanent platform/store.go 's/status >= consts.StatusBadRequest \&\& //; s/status < consts.StatusInternalServerError/false/' platform TestRejectedChangeIsToldFromUnavailableStore
+guard rejection-is-passed-on pkg/relayer/wire.go 's/errors.As\(err, \&resp.Rejected\), //' pkg/relayer TestRejectionIsPassedOn
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
 guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
+guard left-runner-gets-no-lease pkg/scheduler/sync.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
+guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
 [ $survived -eq 0 ] && echo "every guard is held by its test"
