A start that may be refused again does not end a task's wait

A runner that refuses all starts got a task again after each pause, which ended the task's wait for a quarantined runner, the only one that would have accepted it. ruled out: a preference for quarantined runners over those that refused, and the refusals in the order of quarantined runners: no test fails without them. change: a placement on a runner that refused a start in the last 5 s does not end the wait.

--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -66,6 +66,7 @@
 
 // placeStep places as many waiting tasks of a step as possible.
 func (c *Cell) placeStep(now time.Time, w *candidate) {
+	mayBeRefused := false
 	for _, t := range w.occurrence.steps[w.step] {
 		if !t.pending(now) {
 			continue
@@ -78,9 +79,10 @@
 		}
 		c.start(now, s, t)
 		s.recordProbe(now)
+		mayBeRefused = mayBeRefused || s.refusals.recent(now)
 		w.starved = w.starved && w.job.placed < minRunning
 	}
-	w.recordWaiting(now, false)
+	w.recordWaiting(now, mayBeRefused)
 }
 
 // fullRunners records that no runner could hold a step's tasks. Only those that
@@ -90,7 +92,8 @@
 	change uint64
 	queues *Queues
 	// waitingSince is since when the step has had tasks that no runner could
-	// hold; it is zero if there are none.
+	// hold, or only one that recently refused a start; it is zero if there are
+	// none.
 	waitingSince time.Time
 }
 
@@ -262,7 +265,7 @@
 		w.recordWaiting(now, true)
 		return
 	}
-	w.recordWaiting(now, false)
+	w.recordWaiting(now, slices.ContainsFunc(bound, func(s *runnerState) bool { return s.refusals.recent(now) }))
 	for i, t := range members {
 		t.run = run
 		t.checkpoint = members[0].checkpoint
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -41,6 +41,7 @@
 			}
 			c.start(now, s, t)
 			s.probedAt = now
+			waits = waits || s.refusals.recent(now)
 			w.starved = w.starved && w.job.placed < minRunning
 		}
 		waitByScan(now, &w, waits)
@@ -67,7 +68,11 @@
 	for i, s := range bound {
 		s.release(members[i])
 	}
-	waitByScan(now, w, len(bound) < len(members))
+	waits := len(bound) < len(members)
+	for _, s := range bound {
+		waits = waits || s.refusals.recent(now)
+	}
+	waitByScan(now, w, waits)
 	if len(bound) < len(members) {
 		return
 	}
@@ -163,6 +168,8 @@
 	scanned *Cell
 	// runners holds what each agent reports next.
 	runners map[string]*framer.Report
+	// failing holds the agents on whose runners all runs fail.
+	failing map[string]bool
 	jobs    int
 }
 
@@ -172,6 +179,7 @@
 		rnd:     rand.New(rand.NewPCG(seed, 3)),
 		now:     time.Unix(10_000, 0),
 		runners: map[string]*framer.Report{},
+		failing: map[string]bool{},
 	}
 	cfg := Config{
 		Epoch:           1,
@@ -216,7 +224,7 @@
 	agents := slices.Sorted(maps.Keys(p.runners))
 	agent := agents[p.rnd.IntN(len(agents))]
 	r := p.runners[agent]
-	switch p.rnd.IntN(14) {
+	switch p.rnd.IntN(15) {
 	case 0:
 		p.both(func(c *Cell) { c.AgentDisconnected(agent) })
 	case 1:
@@ -235,6 +243,8 @@
 	case 5:
 		id := fmt.Sprintf("j%03d", p.rnd.IntN(p.jobs+1))
 		p.both(func(c *Cell) { c.Cancel(p.now, id) })
+	case 6:
+		p.failing[agent] = !p.failing[agent]
 	default:
 		p.addJob()
 	}
@@ -302,10 +312,14 @@
 			running = append(running, status)
 			continue
 		}
+		reason := []framer.FinishReason{framer.FinishDone, framer.FinishDone, framer.FinishFailed, framer.FinishStopped}[p.rnd.IntN(4)]
+		if p.failing[agent] {
+			reason = framer.FinishFailed
+		}
 		r.Finished = append(r.Finished, framer.FinishedRun{
 			RunRef:   status.RunRef,
 			Sequence: int64(len(r.Finished) + 1),
-			Reason:   []framer.FinishReason{framer.FinishDone, framer.FinishDone, framer.FinishFailed, framer.FinishStopped}[p.rnd.IntN(4)],
+			Reason:   reason,
 		})
 	}
 	r.Running = running
--- a/pkg/scheduler/refusals_test.go
+++ b/pkg/scheduler/refusals_test.go
@@ -75,6 +75,23 @@
 			h.waitForStarts(1, 2*second)
 		})
 	})
+	t.Run("is repeated on a quarantined runner if no other has room", func(t *testing.T) {
+		h := newHarness(t)
+		h.cell.agents["y"].quarantine = maxQuarantine
+		h.cell.agents["y"].stalled = true
+		h.cell.agents["y"].quarantinedUntil = h.now.Add(maxQuarantine)
+		h.add("l", "reviews", longRunningStep(1, 500))
+		h.refuseFor(3 * second)
+		assert.Equal(t, len(h.runners["y"].Running), 1)
+	})
+	t.Run("is repeated on another quarantined runner", func(t *testing.T) {
+		h := newHarness(t)
+		h.quarantineAll(maxQuarantine)
+		h.cell.agents["x"].quarantinedUntil = h.now.Add(minQuarantine)
+		h.add("l", "reviews", longRunningStep(1, 500))
+		h.refuseFor(2*maxQuarantineWait + second)
+		assert.Equal(t, len(h.runners["y"].Running), 1)
+	})
 	t.Run("counts for its runner no longer after a while", func(t *testing.T) {
 		h := newHarness(t)
 		h.add("l", "reviews", longRunningStep(1, 500))
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -79,6 +79,10 @@
 guard refusals-are-forgotten pkg/scheduler/refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
 guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
+guard long-running-tasks-probe pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-leave-refusers pkg/scheduler/report.go 's/s.refusals.add\(now\)/_ = now/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-use-reserve pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard refusal-does-not-end-a-wait pkg/scheduler/placing.go 's/w.recordWaiting\(now, mayBeRefused\)/w.recordWaiting(now, mayBeRefused \&\& false)/' pkg/scheduler TestRefusedStart
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
