A run that is current after all is no longer unexpected

cause: a run that was listed before its job was loaded counted as unexpected for as long as it was listed. It took its room twice and was stopped although it was the current one. ruled out: a lasting effect: the stop ended the belief, and the task ran again.

--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -196,6 +196,7 @@
 		c.cfg.LogEvent("unexpected run listed", "task", status.Task, "run", status.Run, "runner", s.key.ID)
 		return
 	}
+	s.removeUnexpected(status.RunRef)
 	c.confirm(s, status.RunRef)
 	t.listed = true
 	if status.Checkpoint != "" {
