--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -330,6 +330,21 @@
 	})
 }
 
+// The notice that a runner left names only its id. One that arrives late must
+// not keep a runner that uses the same id out of use for good.
+func TestLateNoticeThatRunnerLeft(t *testing.T) {
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.core.RunnerLeft(h.now, "i-1")
+	h.tick()
+	assert.Assert(t, h.reports[len(h.reports)-1].Runner.Left)
+	h.answerRenewal(1100, Listing{})
+	h.heartbeat("i-1", 5000, false)
+	last := h.reports[len(h.reports)-1]
+	assert.Assert(t, !last.Runner.Left && !last.Runner.Draining)
+	assert.Equal(t, h.countOpen(isRenewal), 1, "it is listed again")
+}
+
 func TestFinishedRunsAreReportedUntilAcknowledged(t *testing.T) {
 	finished := framer.FinishedRun{
 		RunRef:   ref("a.0.0.0"),
