Split the cell's tests by subject

cause: cell_test.go had 559 lines and held tests of placing, commits, reports and runners. change: the tests are moved unchanged into commit_test.go, incarnations_test.go, placing_test.go and report_test.go, the harness into cell_harness_test.go. after: the sorted lines of the files are those from before, except for package and import lines; go test -list shows the same tests; go test ./pkg/scheduler passes. conclusion: no change of a test.

--- a/pkg/scheduler/report_test.go
+++ b/pkg/scheduler/report_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -8,6 +9,68 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
+func TestJobFailsAfterMaxFailures(t *testing.T) {
+	h := newCellHarness(t, "x", "y", "z")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	for n := 1; n <= 2; n++ {
+		for agent := range h.runners {
+			for _, ref := range h.acceptStarts(agent) {
+				assert.Equal(t, ref, runRef("j.0.0.0", n))
+				h.finish(agent, ref, framer.FinishFailed)
+			}
+		}
+		h.tickUntilIdle()
+	}
+	assert.Equal(t, len(h.acceptAllStarts()), 0)
+	assert.Assert(t, !h.cell.HasJob("j"))
+}
+
+func TestRetryAvoidsFailedRunner(t *testing.T) {
+	h := newCellHarness(t, "x", "y")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	for agent, other := range map[string]string{"x": "y", "y": "x"} {
+		for _, ref := range h.acceptStarts(agent) {
+			h.finish(agent, ref, framer.FinishFailed)
+			h.tickUntilIdle()
+			assert.Equal(t, len(h.acceptStarts(other)), 1)
+			return
+		}
+	}
+	t.Fatal("no task was started")
+}
+
+func TestFailingRunnerIsQuarantined(t *testing.T) {
+	h := newCellHarness(t, "x", "y")
+	for i := range 8 {
+		h.add(fmt.Sprintf("j%d", i), "checks", newStep(1, 500))
+	}
+	h.tickUntilIdle()
+	for _, ref := range h.acceptStarts("x") {
+		h.finish("x", ref, framer.FinishFailed)
+	}
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("x")), 0)
+	assert.Assert(t, len(h.acceptStarts("y")) >= 8)
+}
+
+func TestJobFailingOnSeveralRunnersCountsAgainstNone(t *testing.T) {
+	h := newCellHarness(t, "x", "y")
+	for i := range 3 {
+		h.add(fmt.Sprintf("bad%d", i), "checks", newStep(8, 500))
+	}
+	h.tickUntilIdle()
+	for agent := range h.runners {
+		for _, ref := range h.acceptStarts(agent) {
+			h.finish(agent, ref, framer.FinishFailed)
+		}
+	}
+	for _, s := range h.cell.runners {
+		assert.Equal(t, len(s.failedJobs), 0)
+	}
+}
+
 // A run of an unknown task that turns out to be a current one must not count
 // twice, nor be stopped, for as long as the runner lists it.
 func TestListedRunOfLoadedJobIsNotUnexpected(t *testing.T) {
