Late failures of long-running tasks do not quarantine their runner

cause: long-running tasks fail at any time and never end as done. On a runner that has only such tasks, the failures of two jobs, hours apart, quarantined it, each time for twice as long, and no success ended that. ruled out: ignoring all failures of long-running tasks: those soon after a start are the only evidence on such a runner.

--- a/pkg/scheduler/quarantined_choice.go
+++ b/pkg/scheduler/quarantined_choice.go
@@ -25,7 +25,7 @@
 	if step.LongRunning {
 		interval = longRunningProbeInterval
 	}
-	return s.available(now) && s.quarantined(now) && now.Sub(s.probedAt) >= interval
+	return now.Sub(s.probedAt) >= interval && s.available(now) && s.quarantined(now)
 }
 
 // mayUseQuarantined reports whether tasks of a step may be placed on quarantined
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -8,6 +8,10 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
+// provenWork is how long a long-running task must have run until its failure is
+// no evidence against its runner.
+const provenWork = 10 * time.Second
+
 // HandleReport processes an agent's report. now must be later than the time at
 // which the runner's clock was read.
 func (c *Cell) HandleReport(now time.Time, agent string, r framer.Report) {
@@ -27,7 +31,7 @@
 		c.confirm(s, ref)
 	}
 	for _, status := range r.Running {
-		c.recordRunning(s, status)
+		c.recordRunning(now, s, status)
 	}
 	if listed {
 		c.updateModels(now, s, r.Running)
@@ -182,7 +186,7 @@
 	}
 }
 
-func (c *Cell) recordRunning(s *runnerState, status framer.RunStatus) {
+func (c *Cell) recordRunning(now time.Time, s *runnerState, status framer.RunStatus) {
 	t := c.currentTask(s, status.RunRef)
 	if t == nil {
 		var needs publisher.Resources
@@ -198,7 +202,10 @@
 	}
 	s.removeUnexpected(status.RunRef)
 	c.confirm(s, status.RunRef)
-	t.listed = true
+	if !t.listed {
+		t.listed = true
+		t.listedSince = now
+	}
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
@@ -311,7 +318,9 @@
 	c.Counts.Failed++
 	t.failures++
 	t.avoid = append(t.avoid, s.key.ID)
-	c.attributeFailure(now, s, t.job)
+	if !t.provesRunner(now) {
+		c.attributeFailure(now, s, t.job)
+	}
 	c.release(t)
 	t.notBefore = now
 	if t.spec().LongRunning {
@@ -327,6 +336,12 @@
 	}
 }
 
+// provesRunner reports whether a run was at work for so long that its end is no
+// evidence against its runner. Long-running tasks may fail at any time.
+func (t *task) provesRunner(now time.Time) bool {
+	return t.spec().LongRunning && t.listed && now.Sub(t.listedSince) >= provenWork
+}
+
 // attributeFailure attributes a failed run either to its runner or to its job.
 // A runner that fails the runs of different jobs is quarantined. A job that
 // fails on several runners is itself at fault, and its failures no longer count
--- a/pkg/scheduler/report_test.go
+++ b/pkg/scheduler/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -96,3 +97,38 @@
 	assert.Equal(t, len(h.cell.Sync(h.now, "x", true).Stops), 0)
 	assert.Equal(t, len(h.cell.agents["x"].unexpectedRuns), 0)
 }
+
+// Long-running tasks fail at any time, and never end as done. Their failures
+// must not quarantine a runner on which they worked for long.
+func TestLateFailuresOfLongRunningTasksCountAgainstNoRunner(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		work        time.Duration
+		quarantined bool
+	}{
+		{
+			name:        "soon after the start",
+			work:        provenWork - time.Second,
+			quarantined: true,
+		},
+		{
+			name:        "after a long time at work",
+			work:        provenWork,
+			quarantined: false,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newCellHarness(t, "x")
+			for i := range quarantineThreshold {
+				h.add(fmt.Sprintf("l%d", i), "checks", longRunningStep(1, 500))
+			}
+			h.tickUntilIdle()
+			h.acceptStarts("x")
+			h.advance(test.work)
+			for i := range quarantineThreshold {
+				h.finish("x", runRef(fmt.Sprintf("l%d.0.0.0", i), 1), framer.FinishFailed)
+			}
+			assert.Equal(t, h.cell.agents["x"].quarantined(h.now), test.quarantined)
+		})
+	}
+}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -72,6 +72,8 @@
 	confirmed bool
 	// listed is set once this incarnation of the runner has listed the run.
 	listed bool
+	// listedSince is when the run was first listed.
+	listedSince time.Time
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
