--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -82,6 +82,8 @@
 	// missing counts the listings without it since then.
 	listedIn int
 	missing  missing
+	// listedSince is when the run was first listed.
+	listedSince time.Time
 	// percent is the progress of the run, and stalledFor is how long it has not
 	// changed.
 	percent    int
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -87,6 +87,12 @@
 guard refusals-are-forgotten pkg/scheduler/start_refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
 guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
+guard long-running-tasks-probe pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-leave-refusers pkg/scheduler/report.go 's/s.startRefusals.add\(now\)/_ = now/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-use-reserve pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard refusal-does-not-end-a-wait pkg/scheduler/placing.go 's/w.recordWaiting\(now, mayBeRefused\)/w.recordWaiting(now, mayBeRefused \&\& false)/' pkg/scheduler TestRefusedStart
+guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
+guard late-failures-are-no-evidence pkg/scheduler/report.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/^\t\tlease = longest/\t\tlease = time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
