Resolve a stop that the runner refuses

cause: a run whose start may have arrived counts as stopping until the runner confirms the stop. A runner that refuses stops, but lists its runs, kept a run that it does not have in that state for ever, and its task from starting elsewhere. ruled out: a confirmed stop that is not resolved: the next listing resolves it (TestRepeatedStart), unless it lists the run, whose end then follows. change: 15 s after its last start was requested, and half a second for the listing, a listing without the run resolves the stop. No runner is known to refuse stops for so long.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -41,7 +41,10 @@
 	// receivedAt is when the owner first requested the command, or when the
 	// incarnation was first seen that a fence is for.
 	receivedAt time.Time
-	retryAt    time.Time
+	// startSentAt is when a start of the run was last requested, or may have been
+	// by an earlier agent.
+	startSentAt time.Time
+	retryAt     time.Time
 	// verifyAfter is the number of the first lease renewal whose listing can
 	// resolve the command.
 	verifyAfter uint64
@@ -62,6 +65,7 @@
 				start:          start,
 				phase:          phaseStarting,
 				receivedAt:     now,
+				startSentAt:    now,
 				mayHaveStarted: start.Repeated,
 			}
 			c.commands[start.RunRef] = cmd
@@ -75,6 +79,8 @@
 				start: framer.RunStart{
 					RunRef: ref,
 				},
+				receivedAt:  now,
+				startSentAt: now,
 			}
 			c.commands[ref] = cmd
 		}
@@ -170,6 +176,7 @@
 		delete(c.commands, call.Start.RunRef)
 		return
 	}
+	cmd.startSentAt = now
 	if err != nil {
 		cmd.mayHaveStarted = cmd.mayHaveStarted || mayArrive
 		cmd.retryAt = now.Add(retryBackoff)
@@ -207,6 +214,9 @@
 		return
 	}
 	c.advanceClock(a.ClockMillis)
+	if cmd.phase != phaseStopping {
+		return
+	}
 	cmd.phase = phaseVerifying
 	cmd.verifyAfter = c.renewCalls + 1
 	c.nextRenewal = now
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -521,3 +521,52 @@
 		}
 	})
 }
+
+// A run whose stop the runner refuses must not count as stopping for ever: its task
+// would never start again.
+func TestRefusedStopIsResolved(t *testing.T) {
+	one := ref("a.0.0.0")
+	stopping := func(t *testing.T, refused time.Duration) *coreHarness {
+		t.Helper()
+		h := newCoreHarness(t)
+		h.answerRenewal(1000, Listing{})
+		h.sync(framer.Sync{
+			Starts:           starts(one),
+			LeaseUntilMillis: 7000,
+		})
+		h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
+		h.sync(framer.Sync{
+			Stops:            []framer.RunRef{one},
+			LeaseUntilMillis: 12_000,
+		})
+		for end := h.now.Add(refused); h.now.Before(end); h.advance(retryBackoff) {
+			for h.countOpen(isStop) > 0 {
+				h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
+					Refusal: RefusalUnhealthy,
+				}, nil)
+			}
+		}
+		return h
+	}
+	t.Run("once no start can arrive any more, by a listing without the run", func(t *testing.T) {
+		h := stopping(t, unconfirmedStartTTL+time.Second)
+		h.answerRenewal(17_000, Listing{})
+		assert.Assert(t, h.reportedNeverStarted(one))
+		h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{}, nil)
+		assert.Equal(t, h.core.commands[one].phase, phaseNeverStarted, "a late answer changes nothing")
+	})
+	t.Run("not before", func(t *testing.T) {
+		h := stopping(t, unconfirmedStartTTL-time.Second)
+		h.answerRenewal(15_000, Listing{})
+		assert.Assert(t, !h.reportedNeverStarted(one))
+	})
+	t.Run("not while the run is listed", func(t *testing.T) {
+		h := stopping(t, unconfirmedStartTTL+time.Second)
+		h.answerRenewal(17_000, Listing{
+			Running: []framer.RunStatus{{
+				RunRef: one,
+			}},
+		})
+		assert.Assert(t, !h.reportedNeverStarted(one))
+	})
+}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -118,13 +118,16 @@
 
 // resolveVerifying marks as never started each command whose stop was confirmed
 // and whose run is neither running nor finished in a listing requested after
-// that. A listing that may lack ends resolves none.
+// that. A stop that the runner does not confirm counts as confirmed once no start
+// of the run can arrive any more. A listing that may lack ends resolves none.
 func (c *Core) resolveVerifying(now time.Time, l Listing) {
 	if len(l.Finished) >= maxListedEnds {
 		return
 	}
 	for ref, cmd := range c.commands {
-		if cmd.phase != phaseVerifying || c.renewCalls < cmd.verifyAfter {
+		confirmed := cmd.phase == phaseVerifying && c.renewCalls >= cmd.verifyAfter
+		overdue := cmd.phase == phaseStopping && !cmd.fence && now.Sub(cmd.startSentAt) > unconfirmedStartTTL+renewWait
+		if !confirmed && !overdue {
 			continue
 		}
 		present := slices.ContainsFunc(l.Running, func(r framer.RunStatus) bool { return r.RunRef == ref })
