Place tasks elsewhere when a runner refuses their starts

cause: a start that a runner refuses is released and placed again at once. Nothing counted against the runner, and since nothing runs there it has the most idle processors, so the task went back to it for as long as it refused, although others had room. Failed runs count against a runner; refused starts did not. ruled out: the listing as a guard: a runner that refuses starts answers lease renewals, so it counts as responsive. change: a runner that did not start a run gets no task for 250 ms, then twice as long up to 2 s, until it starts one.

--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -177,6 +177,7 @@
 		return
 	}
 	t.confirmed = true
+	s.refusalDelay = 0
 	c.markBegun(t.job)
 }
 
@@ -264,6 +265,9 @@
 		c.runFailed(now, s, t)
 	case framer.FinishNeverStarted:
 		c.Counts.NeverStarted++
+		if !t.stopping {
+			s.recordRefusal(now)
+		}
 		c.release(t)
 	default:
 		c.Counts.Stopped++
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -30,6 +30,10 @@
 	quarantineThreshold = 2
 	minQuarantine       = 4 * time.Second
 	maxQuarantine       = time.Minute
+	// minRefusalDelay and maxRefusalDelay bound how long a runner that refused a
+	// start gets no other.
+	minRefusalDelay = 250 * time.Millisecond
+	maxRefusalDelay = 2 * time.Second
 	// latencyCriticalLoadPercent is the share of its requested processors that
 	// a latency-critical task is assumed to use, in percent. It is low, since a
 	// task that uses more only slows the best-effort tasks beside it, while
@@ -103,6 +107,10 @@
 	failedJobs       []string
 	quarantine       time.Duration
 	quarantinedUntil time.Time
+	// refusalDelay is how long the runner got no task after its last refusal of
+	// a start, and refusedUntil is when that ends.
+	refusalDelay time.Duration
+	refusedUntil time.Time
 }
 
 // pendingFinish is the sequence number of a finished run and the change that
@@ -270,6 +278,9 @@
 	if !s.reported || s.agent == "" || s.info.Draining || s.info.Left || now.Sub(s.listedAt) > listingTTL {
 		return false
 	}
+	if now.Before(s.refusedUntil) {
+		return false
+	}
 	if len(s.failedJobs) < quarantineThreshold && !s.stalled {
 		return true
 	}
@@ -308,6 +319,16 @@
 	return true
 }
 
+// recordRefusal keeps tasks off a runner that did not start a run, each time for
+// twice as long until it starts one.
+func (s *runnerState) recordRefusal(now time.Time) {
+	if now.Before(s.refusedUntil) {
+		return
+	}
+	s.refusalDelay = min(maxRefusalDelay, max(minRefusalDelay, 2*s.refusalDelay))
+	s.refusedUntil = now.Add(s.refusalDelay)
+}
+
 // removeFailure removes a job from the runner's failures, because the job
 // itself is at fault.
 func (s *runnerState) removeFailure(job string) {
