--- a/pkg/scheduler/missing_run_test.go
+++ b/pkg/scheduler/missing_run_test.go
@@ -21,9 +21,9 @@
 	return h
 }
 
-// stops returns the runs that an agent is requested to stop.
-func (h *cellHarness) stops(agent string) []framer.RunRef {
-	return h.cell.Sync(h.now, agent, true).Stops
+// stops returns the runs that the agent of the runner is requested to stop.
+func (h *cellHarness) stops() []framer.RunRef {
+	return h.cell.Sync(h.now, "x", true).Stops
 }
 
 // A run whose end is never listed must not count as running for ever: a delayed
@@ -34,9 +34,9 @@
 		h := startedTask(t)
 		h.runners["x"].Running = nil
 		h.advance(maxMissing / 2)
-		assert.Equal(t, len(h.stops("x")), 0, "an end may be listed soon")
+		assert.Equal(t, len(h.stops()), 0, "an end may be listed soon")
 		h.advance(maxMissing)
-		assert.DeepEqual(t, h.stops("x"), []framer.RunRef{one})
+		assert.DeepEqual(t, h.stops(), []framer.RunRef{one})
 		h.runners["x"].Finished = []framer.FinishedRun{{
 			RunRef: one,
 			Reason: framer.FinishNeverStarted,
@@ -52,12 +52,12 @@
 		assert.Equal(t, len(h.cell.Sync(h.now, "x", true).Starts), 1)
 		h.runners["x"].Started = []framer.RunRef{one}
 		h.advance(2 * maxMissing)
-		assert.DeepEqual(t, h.stops("x"), []framer.RunRef{one})
+		assert.DeepEqual(t, h.stops(), []framer.RunRef{one})
 	})
 	t.Run("but not while it is listed", func(t *testing.T) {
 		h := startedTask(t)
 		h.advance(3 * maxMissing)
-		assert.Equal(t, len(h.stops("x")), 0)
+		assert.Equal(t, len(h.stops()), 0)
 	})
 	t.Run("nor because listings are missing", func(t *testing.T) {
 		h := startedTask(t)
@@ -68,7 +68,7 @@
 		h.advance(2 * maxMissing)
 		r.ListingAgeMillis = (2 * maxMissing).Milliseconds()
 		h.cell.HandleReport(h.now, "x", *r)
-		assert.Equal(t, len(h.stops("x")), 0)
+		assert.Equal(t, len(h.stops()), 0)
 	})
 	t.Run("nor when it is listed again", func(t *testing.T) {
 		h := startedTask(t)
@@ -80,6 +80,6 @@
 			r.Running = running
 			h.advance(100 * time.Millisecond)
 		}
-		assert.Equal(t, len(h.stops("x")), 0)
+		assert.Equal(t, len(h.stops()), 0)
 	})
 }
