--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -68,6 +68,10 @@
 				startSentAt:    now,
 				mayHaveStarted: start.Repeated,
 			}
+			if contains(c.running, start.RunRef) {
+				cmd.phase = phaseStarted
+				c.scheduleReport(now)
+			}
 			c.commands[start.RunRef] = cmd
 		}
 		cmd.requested = true
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -570,3 +570,31 @@
 		assert.Assert(t, !h.reportedNeverStarted(one))
 	})
 }
+
+// A new owner requests all starts again. A run that its draining runner lists must
+// not be stopped for that: it may still finish there.
+func TestListedRunIsNotStartedAgain(t *testing.T) {
+	one := ref("a.0.0.0")
+	repeated := starts(one)
+	repeated[0].Repeated = true
+	for name, draining := range map[string]bool{"on a draining runner": true, "on another": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newCoreHarness(t)
+			h.answerRenewal(1000, Listing{
+				Running: []framer.RunStatus{{
+					RunRef: one,
+				}},
+			})
+			h.heartbeat("i-1", 5000, draining)
+			h.sync(framer.Sync{
+				Epoch:            2,
+				Starts:           repeated,
+				LeaseUntilMillis: 7000,
+			})
+			h.advance(reportInterval)
+			assert.Equal(t, h.countOpen(isStop), 0)
+			assert.Equal(t, h.countOpen(isStart), 0)
+			assert.DeepEqual(t, h.reports[len(h.reports)-1].Started, []framer.RunRef{one})
+		})
+	}
+}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -130,7 +130,7 @@
 		if !confirmed && !overdue {
 			continue
 		}
-		present := slices.ContainsFunc(l.Running, func(r framer.RunStatus) bool { return r.RunRef == ref })
+		present := contains(l.Running, ref)
 		finished := slices.ContainsFunc(l.Finished, func(e framer.FinishedRun) bool { return e.RunRef == ref })
 		if !present && !finished {
 			cmd.phase = phaseNeverStarted
@@ -139,6 +139,11 @@
 	}
 }
 
+// contains reports whether a run is among the running ones.
+func contains(running []framer.RunStatus, ref framer.RunRef) bool {
+	return slices.ContainsFunc(running, func(r framer.RunStatus) bool { return r.RunRef == ref })
+}
+
 func (c *Core) advanceClock(clockMillis int64) {
 	c.clockMillis = max(c.clockMillis, clockMillis)
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -65,6 +65,7 @@
 guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
 guard refused-stop-is-resolved pkg/supervisor/listing.go 's/overdue := cmd.phase == phaseStopping/overdue := false/' pkg/supervisor TestRefusedStopIsResolved
+guard listed-run-is-started pkg/supervisor/commands.go 's/if contains\(c.running, start.RunRef\) \{/if false {/' pkg/supervisor TestListedRunIsNotStartedAgain
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
