--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -149,6 +149,29 @@
 	return list
 }
 
+// newStartingHarness returns the harness of a core that is requested to start runs.
+func newStartingHarness(t *testing.T, refs ...framer.RunRef) *coreHarness {
+	t.Helper()
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           starts(refs...),
+		LeaseUntilMillis: 7000,
+	})
+	return h
+}
+
+// refuseStops refuses all stops for a time.
+func (h *coreHarness) refuseStops(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); h.advance(retryBackoff) {
+		for h.countOpen(isStop) > 0 {
+			h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
+				Refusal: RefusalUnhealthy,
+			}, nil)
+		}
+	}
+}
+
 func TestRepeatedStart(t *testing.T) {
 	one := ref("a.0.0.0")
 	repeated := starts(one)
@@ -197,12 +220,7 @@
 
 func TestStartWithoutResponse(t *testing.T) {
 	one := ref("a.0.0.0")
-	h := newCoreHarness(t)
-	h.answerRenewal(1000, Listing{})
-	h.sync(framer.Sync{
-		Starts:           starts(one),
-		LeaseUntilMillis: 7000,
-	})
+	h := newStartingHarness(t, one)
 	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
 	h.advance(retryBackoff)
 	assert.Equal(t, h.countOpen(isStart), 1, "the start is sent again")
@@ -215,12 +233,7 @@
 
 func TestRefusedStartIsReportedAsNeverStarted(t *testing.T) {
 	one := ref("a.0.0.0")
-	h := newCoreHarness(t)
-	h.answerRenewal(1000, Listing{})
-	h.sync(framer.Sync{
-		Starts:           starts(one),
-		LeaseUntilMillis: 7000,
-	})
+	h := newStartingHarness(t, one)
 	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{
 		Refusal: RefusalNoCapacity,
 	}, nil)
@@ -228,12 +241,7 @@
 }
 
 func TestWithdrawnStartIsNotRetried(t *testing.T) {
-	h := newCoreHarness(t)
-	h.answerRenewal(1000, Listing{})
-	h.sync(framer.Sync{
-		Starts:           starts(ref("a.0.0.0")),
-		LeaseUntilMillis: 7000,
-	})
+	h := newStartingHarness(t, ref("a.0.0.0"))
 	call := *h.takeAction(isStart).Start
 	h.sync(framer.Sync{
 		LeaseUntilMillis: 7500,
@@ -400,12 +408,7 @@
 // carried out later: nothing has to wait for the lease.
 func TestStartThatWasNotSentIsGivenBack(t *testing.T) {
 	one := ref("a.0.0.0")
-	h := newCoreHarness(t)
-	h.answerRenewal(1000, Listing{})
-	h.sync(framer.Sync{
-		Starts:           starts(one),
-		LeaseUntilMillis: 11_000,
-	})
+	h := newStartingHarness(t, one)
 	for range 60 {
 		if h.countOpen(isStart) > 0 {
 			h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errors.Wrap(&NotSentError{
@@ -451,27 +454,13 @@
 // not stay unknown to the owner for ever.
 func TestRestartedRunnerThatRefusesStopsIsReported(t *testing.T) {
 	one := ref("a.0.0.0")
-	h := newCoreHarness(t)
-	h.answerRenewal(1000, Listing{})
-	h.sync(framer.Sync{
-		Starts:           starts(one),
-		LeaseUntilMillis: 7000,
-	})
+	h := newStartingHarness(t, one)
 	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
 	h.heartbeat("i-1", 6000, false)
-	refuseStops := func(d time.Duration) {
-		for end := h.now.Add(d); h.now.Before(end); h.advance(retryBackoff) {
-			for h.countOpen(isStop) > 0 {
-				h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
-					Refusal: RefusalUnhealthy,
-				}, nil)
-			}
-		}
-	}
 	reported := func() bool { return h.reports[len(h.reports)-1].Runner.Key == h.key }
-	refuseStops(unconfirmedStartTTL - time.Second)
+	h.refuseStops(unconfirmedStartTTL - time.Second)
 	assert.Assert(t, !reported(), "the start to the earlier incarnation may still arrive")
-	refuseStops(2 * time.Second)
+	h.refuseStops(2 * time.Second)
 	assert.Assert(t, reported())
 	assert.Equal(t, h.countOpen(isStop), 0)
 }
@@ -528,24 +517,13 @@
 	one := ref("a.0.0.0")
 	stopping := func(t *testing.T, refused time.Duration) *coreHarness {
 		t.Helper()
-		h := newCoreHarness(t)
-		h.answerRenewal(1000, Listing{})
-		h.sync(framer.Sync{
-			Starts:           starts(one),
-			LeaseUntilMillis: 7000,
-		})
+		h := newStartingHarness(t, one)
 		h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, errNoAnswer)
 		h.sync(framer.Sync{
 			Stops:            []framer.RunRef{one},
 			LeaseUntilMillis: 12_000,
 		})
-		for end := h.now.Add(refused); h.now.Before(end); h.advance(retryBackoff) {
-			for h.countOpen(isStop) > 0 {
-				h.core.StopAnswered(h.now, *h.takeAction(isStop).Stop, Answer{
-					Refusal: RefusalUnhealthy,
-				}, nil)
-			}
-		}
+		h.refuseStops(refused)
 		return h
 	}
 	t.Run("once no start can arrive any more, by a listing without the run", func(t *testing.T) {
