Ignore what an owner sent over its earlier link

cause: an agent processed a sync that it read from an owner's earlier link after one from its present link.

--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -49,6 +49,8 @@
 	group   *errgroup.Group
 	ctx     context.Context
 	metrics atomic.Pointer[Counts]
+	// accepted counts the links that owners opened.
+	accepted atomic.Uint64
 	// startLatency measures the response time of the runner to start calls.
 	startLatency *measurer.Latency
 
@@ -56,6 +58,8 @@
 	core *Core
 	// owner is the link to the owner with the highest epoch received, or nil.
 	owner *connector.Link
+	// ownerNumber is the number of that link among the accepted ones.
+	ownerNumber uint64
 }
 
 // NewAgent returns an agent that is not running yet.
@@ -167,28 +171,39 @@
 }
 
 func (a *Agent) serveLink(ctx context.Context, conn net.Conn, r *bufio.Reader) {
+	// It is numbered before the owner can know that it is open, and so before the
+	// owner can open another.
+	number := a.accepted.Add(1)
 	l, err := connector.Accept(conn, r, a.framer, a.hello)
 	if err != nil {
 		a.log.Warn("link refused", "error", err)
 		return
 	}
-	a.log.Info("link opened", "peer", l.Peer.Address)
+	a.log.Info("link opened", "peer", l.Peer.Address, "number", number)
 	err = l.Run(ctx, func(f framer.Frame) {
 		if f.Sync == nil {
 			return
 		}
-		a.loop.Post(func(now time.Time) { a.syncReceived(now, l, *f.Sync) })
+		a.loop.Post(func(now time.Time) { a.syncReceived(now, l, number, *f.Sync) })
 	})
 	a.log.Info("link ended", "peer", l.Peer.Address, "cause", err)
 	a.loop.Post(func(time.Time) {
 		if a.owner == l {
 			a.owner = nil
+			a.ownerNumber = 0
 		}
 	})
 }
 
-func (a *Agent) syncReceived(now time.Time, l *connector.Link, s framer.Sync) {
+// syncReceived processes a sync that arrived on the link with a number. An owner
+// opens a link only once its earlier one has ended, so what is still read from
+// that one is out of date: it may request starts that were given back meanwhile.
+func (a *Agent) syncReceived(now time.Time, l *connector.Link, number uint64, s framer.Sync) {
 	before := a.core.Epoch()
+	if s.Epoch == before && number < a.ownerNumber {
+		a.log.Info("sync of an earlier link ignored", "peer", l.Peer.Address, "epoch", s.Epoch, "number", number)
+		return
+	}
 	if !a.core.SyncReceived(now, s) {
 		a.log.Info("sync from former owner rejected", "peer", l.Peer.Address, "epoch", s.Epoch, "highest", before)
 		l.Abort()
@@ -199,6 +214,7 @@
 	}
 	if a.owner != l {
 		a.owner = l
+		a.ownerNumber = number
 		a.core.Reconnected(now)
 	}
 	for _, start := range s.Starts {
