--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -265,8 +265,8 @@
 		c.runFailed(now, s, t)
 	case framer.FinishNeverStarted:
 		c.Counts.NeverStarted++
-		if !t.stopping {
-			s.recordRefusal(now)
+		if !t.stopping && s.recordRefusal(now) {
+			c.cfg.LogEvent("runner did not start a run", "task", e.Task, "run", e.Run, "runner", s.key.ID, "for", s.refusalDelay)
 		}
 		c.release(t)
 	default:
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -320,13 +320,14 @@
 }
 
 // recordRefusal keeps tasks off a runner that did not start a run, each time for
-// twice as long until it starts one.
-func (s *runnerState) recordRefusal(now time.Time) {
+// twice as long until it starts one. It reports whether that was not so already.
+func (s *runnerState) recordRefusal(now time.Time) bool {
 	if now.Before(s.refusedUntil) {
-		return
+		return false
 	}
 	s.refusalDelay = min(maxRefusalDelay, max(minRefusalDelay, 2*s.refusalDelay))
 	s.refusedUntil = now.Add(s.refusalDelay)
+	return true
 }
 
 // removeFailure removes a job from the runner's failures, because the job
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -108,7 +108,7 @@
 guard left-runner-gets-no-lease pkg/scheduler/sync.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
 guard refusing-runner-gets-a-rest pkg/scheduler/runner_state.go 's/now.Before\(s.refusedUntil\) \{/false {/' pkg/scheduler TestRefusedStartsGoElsewhere
-guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/if !t.stopping \{/if true {/' pkg/scheduler TestRefusedStartsGoElsewhere
+guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/!t.stopping \&\& s.recordRefusal/s.recordRefusal/' pkg/scheduler TestRefusedStartsGoElsewhere
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
 [ $survived -eq 0 ] && echo "every guard is held by its test"
