--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -292,8 +292,8 @@
 		c.runFailed(now, s, t)
 	case framer.FinishNeverStarted:
 		c.Counts.NeverStarted++
-		if !t.stopping {
-			s.startRefusals.add(now)
+		if !t.stopping && s.startRefusals.add(now) {
+			c.cfg.LogEvent("runner did not start a run", "task", e.Task, "run", e.Run, "runner", s.key.ID, "for", s.startRefusals.backoff)
 		}
 		c.release(t)
 	default:
--- a/pkg/scheduler/start_refusals.go
+++ b/pkg/scheduler/start_refusals.go
@@ -21,14 +21,16 @@
 	until   time.Time
 }
 
-// add records a refusal. Several refusals during one backoff count once.
-func (r *startRefusals) add(now time.Time) {
+// add records a refusal, and reports whether a backoff begins. Several refusals
+// during one backoff count once.
+func (r *startRefusals) add(now time.Time) bool {
 	r.lastAt = now
 	if now.Before(r.until) {
-		return
+		return false
 	}
 	r.backoff = min(maxRefusalBackoff, max(minRefusalBackoff, 2*r.backoff))
 	r.until = now.Add(r.backoff)
+	return true
 }
 
 // accepted records that the runner accepted a start.
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -138,16 +138,19 @@
 
 // resolveVerifying marks as never started each command whose stop was confirmed
 // and whose run is neither running nor finished in a listing requested after
-// that. A listing that may lack ends resolves none.
+// that. A stop that the runner does not confirm counts as confirmed once no start
+// of the run can arrive any more. A listing that may lack ends resolves none.
 func (c *Core) resolveVerifying(now time.Time, l Listing) {
 	if len(l.Finished) >= maxListedEnds {
 		return
 	}
 	for ref, cmd := range c.commands {
-		if cmd.phase != phaseVerifying || c.renewCalls < cmd.verifyAfter {
+		confirmed := cmd.phase == phaseVerifying && c.renewCalls >= cmd.verifyAfter
+		overdue := cmd.phase == phaseStopping && !cmd.fence && now.Sub(cmd.startSentAt) > unconfirmedStartTTL+renewWait
+		if !confirmed && !overdue {
 			continue
 		}
-		present := slices.ContainsFunc(l.Running, func(r framer.RunStatus) bool { return r.RunRef == ref })
+		present := contains(l.Running, ref)
 		finished := slices.ContainsFunc(l.Finished, func(e framer.FinishedRun) bool { return e.RunRef == ref })
 		if !present && !finished {
 			cmd.phase = phaseNeverStarted
@@ -156,6 +159,11 @@
 	}
 }
 
+// contains reports whether a run is among the running ones.
+func contains(running []framer.RunStatus, ref framer.RunRef) bool {
+	return slices.ContainsFunc(running, func(r framer.RunStatus) bool { return r.RunRef == ref })
+}
+
 func (c *Core) advanceClock(clockMillis int64) {
 	c.clockMillis = max(c.clockMillis, clockMillis)
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -64,6 +64,9 @@
 guard stepped-back-runner-is-accepted pkg/supervisor/heartbeat.go "s/return answers \|\| alone/return answers/" pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard late-heartbeats-replace-no-runner pkg/supervisor/heartbeat.go "s/alone := c.rival.heartbeats >= minHeartbeats \guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted\guard late-heartbeats-replace-no-runner pkg/supervisor/core.go 's/c.rival.heartbeats < minHeartbeats \|\| //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted /alone := /" pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
+guard refused-stop-is-resolved pkg/supervisor/listing.go 's/overdue := cmd.phase == phaseStopping/overdue := false/' pkg/supervisor TestRefusedStopIsResolved
+guard listed-run-is-started pkg/supervisor/commands.go 's/if contains\(c.running, start.RunRef\) \{/if false {/' pkg/supervisor TestListedRunIsNotStartedAgain
+guard earlier-link-is-ignored pkg/supervisor/agent.go 's/number < a.ownerNumber/false/' pkg/supervisor TestSyncOfEarlierLinkIsIgnored
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
@@ -83,12 +86,12 @@
 guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.probedAt\) >= interval/(s.probedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
-guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/s.startRefusals.add\(now\)/_ = now/' pkg/scheduler TestRefusedStart
+guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestRefusedStart
 guard refusals-are-forgotten pkg/scheduler/start_refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
 guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
 guard long-running-tasks-probe pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
-guard long-running-tasks-leave-refusers pkg/scheduler/report.go 's/s.startRefusals.add\(now\)/_ = now/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-leave-refusers pkg/scheduler/report.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard long-running-tasks-use-reserve pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard refusal-does-not-end-a-wait pkg/scheduler/placing.go 's/w.recordWaiting\(now, mayBeRefused\)/w.recordWaiting(now, mayBeRefused \&\& false)/' pkg/scheduler TestRefusedStart
 guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
@@ -125,6 +128,8 @@
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
 guard left-runner-gets-no-lease pkg/scheduler/sync.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
+guard refusing-runner-gets-a-rest pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add\(now\)/false/' pkg/scheduler TestRefusedStartsGoElsewhere
+guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add/s.startRefusals.add/' pkg/scheduler TestRefusedStartsGoElsewhere
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
 [ $survived -eq 0 ] && echo "every guard is held by its test"
