Count an owner's lease from the first attempt of a write

cause: a write whose first attempt was carried out and whose answer was lost is confirmed by the version mismatch of a later attempt. The owner counted its lease from the later attempt, a new owner counts the former one's from the change of the row, so leases were granted for longer than the new owner waits for. The test TestLeaseOfResentWriteCountsFromFirstAttempt failed. change: such a write counts from its first attempt.

--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -62,7 +62,9 @@
 	commit scheduler.Commit
 	// orphans are ids of deleted jobs whose progress rows this write removes.
 	orphans []string
-	sentAt  time.Time
+	// firstSentAt is when the write was sent first, sentAt when it was sent last.
+	firstSentAt time.Time
+	sentAt      time.Time
 	// resendAt is when the write is retried; zero while it is in flight.
 	resendAt time.Time
 	// rejected is set if the store rejects the transaction as it is.
@@ -218,6 +220,7 @@
 	for _, id := range w.orphans {
 		w.change.Removes = append(w.change.Removes, progressKey(id))
 	}
+	w.firstSentAt = now
 	o.write = w
 	o.lastWrite = now
 	e.transmitWrite(now, w)
@@ -295,6 +298,9 @@
 	}
 	sameOwner := row.Address == e.cfg.Link && row.Lease.Epoch == e.pendingEpoch()
 	if sameOwner && row.Serial == w.serial {
+		// Any of the attempts may have changed the row, and a new owner counts the
+		// leases of this one from the change.
+		w.sentAt = w.firstSentAt
 		e.writeConfirmed(now, w, current.Version)
 		return
 	}
