Ignore delayed heartbeats of a runner that was replaced by one with an earlier start time

cause: an incarnation with an earlier start time may replace the known one. A delayed heartbeat of the replaced one then replaced it in turn, and the owner drops the runs of the incarnation that it takes for the earlier one at once, while they run. TestDelayedHeartbeatOfReplacedIncarnationIsIgnored failed. change: the replaced incarnation needs the same evidence as one with an earlier start time.

--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -90,6 +90,8 @@
 	// incarnation with an earlier start time that sent the last other one.
 	heartbeatAt time.Time
 	rival       rival
+	// replaced is the incarnation that the known one replaced.
+	replaced framer.RunnerKey
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
 	// none yet.
 	clockMillis int64
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -39,7 +39,7 @@
 // order, is ignored.
 func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
 	key := b.Info.Key
-	if c.known && key.StartedAtMillis < c.runner.Key.StartedAtMillis && !c.replacesKnown(now, b) {
+	if c.known && c.presumedEarlier(key) && !c.replacesKnown(now, b) {
 		return false
 	}
 	sameIncarnation := c.known && key == c.runner.Key
@@ -47,6 +47,7 @@
 		return false
 	}
 	if !sameIncarnation {
+		c.replaced = c.runner.Key
 		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
 	}
 	c.heartbeatAt = now
@@ -61,8 +62,15 @@
 	return true
 }
 
-// replacesKnown reports whether an incarnation with an earlier start time than
-// the known one is the later one. The start time is a time of day, which may have
+// presumedEarlier reports whether an incarnation is taken for an earlier one than
+// the known one: its start time is earlier, or the known one replaced it although
+// its own start time is earlier.
+func (c *Core) presumedEarlier(key framer.RunnerKey) bool {
+	return key.StartedAtMillis < c.runner.Key.StartedAtMillis || key == c.replaced
+}
+
+// replacesKnown reports whether an incarnation that is taken for an earlier one
+// than the known one is the later one. The start time is a time of day, which may have
 // been set back. The incarnation is the later one if it answers calls, or if only
 // it has sent heartbeats for some time.
 func (c *Core) replacesKnown(now time.Time, b Heartbeat) bool {
