Ignore a leave notice for a runner that is not draining

cause: the notice names the id alone. A delayed one of an earlier incarnation made the owner release the runs of the present one after a second, before the next heartbeat (1.1 to 1.5 s) shows that it is there; since the lease of a runner that left is not renewed, nothing extends that second any more. TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored failed. change: a runner drains before it leaves, so other notices are ignored. conclusion: the runs of a runner whose draining was never reported wait for its lease.

--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -80,9 +80,11 @@
 	return answers || alone
 }
 
-// RunnerLeft records that the runner has left.
+// RunnerLeft records that the runner has left. The notice names no incarnation.
+// Since a runner drains before it leaves, the notice for one that is not draining
+// is a delayed one of an earlier incarnation.
 func (c *Core) RunnerLeft(now time.Time, id string) {
-	if c.known && c.runner.Key.ID == id {
+	if c.known && c.runner.Key.ID == id && c.runner.Draining {
 		c.runner.Left = true
 		c.runner.Draining = true
 		c.nextReport = now
