Resolve no stop by a listing with malformed rows

cause: since malformed rows are skipped, a run in such a row counted as never started once its stop was confirmed, and started elsewhere while it still ran. TestListingWithMalformedRowsResolvesNoStop failed. change: such a listing resolves no stop.

--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -138,9 +138,9 @@
 
 // resolveVerifying marks as never started each command whose stop was confirmed
 // and whose run is neither running nor finished in a listing requested after
-// that. A listing that may lack ends resolves none.
+// that. A listing that may lack runs or ends resolves none.
 func (c *Core) resolveVerifying(now time.Time, l Listing) {
-	if len(l.Finished) >= maxListedEnds {
+	if len(l.Finished) >= maxListedEnds || len(l.Malformed) > 0 {
 		return
 	}
 	for ref, cmd := range c.commands {
