Report an unknown outcome if a retry is rejected after an unanswered attempt

cause: the first attempt may have taken effect, and the caller was told that the change was refused. TestRejectedRetryLeavesOutcomeUnknown failed. change: the outcome is reported as unknown.

--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -123,6 +123,12 @@
 		_, err := e.store.Commit(ctx, change)
 		var rejected *storer.RejectedError
 		if errors.As(err, &rejected) {
+			if mayHaveTakenEffect {
+				e.unknown.Add(1)
+				return &OutcomeUnknownError{
+					Reason: rejected.Error(),
+				}
+			}
 			e.refused.Add(1)
 			return &NotAcceptedError{
 				Reason:     rejected.Error(),
