State leases of delayed calls in the lease row

cause: after a runner restarted under its id, a delayed call for the earlier incarnation may grant it the longest lease of the platform.

--- a/pkg/controller/runner_leases.go
+++ b/pkg/controller/runner_leases.go
@@ -33,23 +33,27 @@
 // row that was observed at seenAt. longest is the longest lease that the
 // platform permits.
 func (f formerOwner) leasesEnd(seenAt time.Time, longest time.Duration) time.Time {
-	lease := f.runnerLease
-	if lease == 0 {
-		lease = longest
+	return seenAt.Add(leaseDuration + scheduler.MaxLease(f.lease(longest)))
+}
+
+// lease returns the duration of the longest lease that may be in force.
+func (f formerOwner) lease(longest time.Duration) time.Duration {
+	if f.runnerLease == 0 {
+		return longest
 	}
-	return seenAt.Add(leaseDuration + scheduler.MaxLease(lease))
+	return f.runnerLease
 }
 
 // longestGranted returns the duration of the longest lease of a runner that may
-// be in force: this owner's, or a former one's until the last of those expired.
+// be in force: this owner's, a former one's until the last of those expired, or
+// one that a delayed call granted.
 func (e *Entry) longestGranted(now time.Time) time.Duration {
 	lease := runnerLease(e.cfg)
-	switch former := e.owner.former.runnerLease; {
-	case now.After(e.owner.leasesEnd):
-		return lease
-	case former == 0:
-		return time.Duration(e.cfg.LongestLease)
-	default:
-		return max(lease, former)
+	if !now.After(e.owner.leasesEnd) {
+		lease = max(lease, e.owner.former.lease(time.Duration(e.cfg.LongestLease)))
+	}
+	if e.owner.cell != nil {
+		lease = max(lease, e.owner.cell.DelayedLeasesEnd().Sub(now))
 	}
+	return lease
 }
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// DelayedLeasesEnd returns when the last lease expires that a delayed call for an
+// earlier incarnation of a runner can have granted; zero if there is none.
+func (c *Cell) DelayedLeasesEnd() time.Time {
+	var end time.Time
+	for _, s := range c.runners {
+		end = maxTime(end, s.delayedLeaseEnd)
+	}
+	return end
+}
+
 // SetQueues replaces the queue configuration unless q is nil or older than the
 // current version.
 func (c *Cell) SetQueues(q *Queues) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -98,7 +98,7 @@
 guard late-failures-are-no-evidence pkg/scheduler/report.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
-guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/^\t\tlease = longest/\t\tlease = time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
+guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/return longest$/return time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
 guard placement-extends-no-lease pkg/scheduler/placing.go 's/s.clockAt.Add\(c.maxLease/now.Add(c.maxLease/' pkg/scheduler TestPlacementDoesNotExtendLeaseOfLostRunner
 guard delayed-calls-grant-leases pkg/scheduler/cell.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
@@ -110,6 +110,7 @@
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
 guard replaced-incarnation-stays-replaced pkg/supervisor/heartbeat.go 's/ \|\| key == c.replaced//' pkg/supervisor TestDelayedHeartbeatOfReplacedIncarnationIsIgnored
+guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/lease = max\(lease, e.owner.cell.*//' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
