Remember a runner for as long as calls to it may be delayed

cause: a runner without a link was dropped once its lease had expired, with the starts that were sent to it. If it started again under its id within 12 s of the last call, a delayed start could run a task that had been placed elsewhere meanwhile. ruled out: the agent's own fences; a restarted agent has none. change: the runner is dropped 12 s after its lease expired.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -380,7 +380,9 @@
 		if len(s.tasks) > 0 {
 			c.loseRuns(s, "lease expired")
 		}
-		if s.agent == "" {
+		// Until then, a delayed call may reach an incarnation that starts under
+		// the same id.
+		if s.agent == "" && now.Sub(s.leaseEnd) > maxCallDelay {
 			c.removeRunner(s)
 		}
 	}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -106,11 +106,12 @@
 guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fencedFrom//' pkg/scheduler TestLeaseOfRestartedRunner
 guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \&\& !s.unanswered \&\&/ \&\&/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
+guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/lease = max\(lease, e.owner.cell.*//' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
+guard expired-runners-are-remembered pkg/scheduler/cell.go 's/ \&\& now.Sub\(s.leaseEnd\) > maxCallDelay//' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
 guard lease-counts-from-first-attempt pkg/controller/owner.go 's/w.sentAt = w.firstSentAt//' pkg/controller TestLeaseOfResentWriteCountsFromFirstAttempt
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
 guard replaced-incarnation-stays-replaced pkg/supervisor/heartbeat.go 's/ \|\| key == c.replaced//' pkg/supervisor TestDelayedHeartbeatOfReplacedIncarnationIsIgnored
-guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/lease = max\(lease, e.owner.cell.*//' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
