Wait seconds for a worker lost with its owner, not the orphan horizon

cause: a new owner that can't reach a worker waited for leases that the former owner might still grant, for OrphanHorizon (10 minutes), because an owner that only lost the table is not distinguishable from one that has ended. A worker and the owner lost at the same moment, as with one rack, left its tasks and replicas missing for 10 minutes although there was room.

ruled out: a shorter horizon (gives up all tasks in each longer outage), a report of the former owner (none comes when its process has ended), a flag in the lease row (an owner that loses the table can't write it).

change: an owner without the table renews leases only while more than half of its workers accepted calls sent within the last 2 s. Workers reject the calls of an owner once a later one has called them, so that a new owner to which half of the workers reported knows that no former one gets a quorum again. It then waits 2 s and one lease for the others. Incarnations that appeared after the lease had expired don't count, since they may have forgotten the new owner. The cell's row carries a digest of the workers of the quorum; without it, or with another, and until the horizon has passed after such an owner, the wait stays at the horizon. Without a quorum an owner asks for reports only, which can give it one again.

If more than half of the workers are lost with the owner, the wait is the horizon as before; an outage of the table together with the loss of half of the workers stops tasks after 9 s.

--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -49,6 +49,13 @@
 cell='TestCellUnderFaults'
 guard cell-row-guards-commits pkg/overseer/commit.go 's/c.drop\(now\)/c.lease.Confirmed(w.firstSent); c.written(now, w)/' $simulation $cell
 guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
+guard former-owner-needs-quorum pkg/overseer/core.go 's/c.quorum.has\(now, c.cell.Workers\(\)\)/true/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
+guard quorum-ends-after-the-new-one pkg/placer/reconcile.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
+guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/q.incarnations\[worker\] != incarnation/false/' $simulation TestRestartedWorkersAreNoQuorum
+guard new-quorum-shortens-the-wait pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestWorkerLostTogetherWithOwner
+guard reports-give-quorum-again pkg/overseer/core.go 's/^\tmayRenew := .*/\tmayRenew := c.mayRenewTasks(now)\n\tif !mayRenew {\n\t\treturn\n\t}/' $simulation TestOutageWithFewUnreachableWorkers
+guard other-workers-wait-for-the-horizon pkg/overseer/core.go 's/ \|\| value.Workers == c.workersDigest//; s/row.Version == 0$/true/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
+guard quorum-of-all-earlier-owners pkg/overseer/commit.go 's/if c.formersNeedQuorum \|\|.*/if true {/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
