Check in the random cell that tasks with room run after faults

cause: the random simulation of the cell checked that nothing runs twice and that jobs end within 20 minutes. No check saw a task or replica that waits although a worker has room, so that waits of minutes passed.

change: TestTasksRunAfterFaults injects the faults of TestCellUnderFaults, workers that fail all tasks, and owners cut off from the table and random workers. It then loses up to a third of the workers and two of the three owners for good. From then on, each accepted task that fits twice on a worker in operation must not be missing for more than 21.7 s (change of owner, quorum, lease, two delayed calls), and six replicas must run. What runs is read from the stand-in workers, not from the owner.

conclusion: services that are slowed by batch tasks are not part of this simulation.

--- a/pkg/experimenter/cell_faults_test.go
+++ b/pkg/experimenter/cell_faults_test.go
@@ -96,7 +96,7 @@
 	i := rnd.IntN(len(sim.Owners))
 	o := sim.Owners[i]
 	cw := sim.Workers[rnd.IntN(len(sim.Workers))]
-	span := time.Duration(rnd.Int64N(int64(15 * time.Second)))
+	span := time.Duration(rnd.Int64N(int64(maxFaultSpan)))
 	switch rnd.IntN(11) {
 	case 0:
 		o.Kill()
--- a/pkg/experimenter/replicas_test.go
+++ b/pkg/experimenter/replicas_test.go
@@ -12,6 +12,12 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
+// replicaNeeds is what one replica of the tests needs.
+var replicaNeeds = publisher.Resources{
+	ProcessorMillis: 4000,
+	MemoryBytes:     8 << 30,
+}
+
 // countRunningReplicas returns the number of running replicas, in total and by
 // failure domain.
 func countRunningReplicas(sim *CellSimulation) (int, map[string]int) {
@@ -33,10 +39,7 @@
 		o.Core.SetReplicas("central-polls", placer.ReplicaNeed{
 			Team:  "condor",
 			Count: count,
-			Needs: publisher.Resources{
-				ProcessorMillis: 4000,
-				MemoryBytes:     8 << 30,
-			},
+			Needs: replicaNeeds,
 		})
 	}
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -53,6 +53,7 @@
 guard quorum-ends-after-the-new-one pkg/placer/reconcile.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
 guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/q.incarnations\[worker\] != incarnation/false/' $simulation TestRestartedWorkersAreNoQuorum
 guard new-quorum-shortens-the-wait pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestWorkerLostTogetherWithOwner
+guard missing-tasks-are-found pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestTasksRunAfterFaults
 guard reports-give-quorum-again pkg/overseer/core.go 's/^\tmayRenew := .*/\tmayRenew := c.mayRenewTasks(now)\n\tif !mayRenew {\n\t\treturn\n\t}/' $simulation TestOutageWithFewUnreachableWorkers
 guard other-workers-wait-for-the-horizon pkg/overseer/core.go 's/ \|\| value.Workers == c.workersDigest//; s/row.Version == 0$/true/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
 guard quorum-of-all-earlier-owners pkg/overseer/commit.go 's/if c.formersNeedQuorum \|\|.*/if true {/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
