Read inbox rows behind a full page of waiting tasks

cause: a task stays in the inbox until it is placed, and the owner scans the first 500 rows of the inbox only. Once 500 tasks wait there, for instance of a team at its quota, later tasks and cancellations are not read until one of them is placed, although there is room for them.

ruled out: pages that continue at a key (a cancellation can be in a later page than its task, which then counts as unknown), longer scans (all waiting rows would be read four times a second).

change: after a full page, the waiting tasks are written as rows of tasks, which removes them from the inbox. Below 500 waiting tasks nothing changes.

before / after: go test ./pkg/experimenter -run TestWaitingTasksDoNotHideOthers: the other team's task started 0 times in 8 s / once. TestCellLoadWithinTableBudget after: 1.90 writes/s, 3.77 reads/s a cell. Guard waiting-tasks-leave-the-inbox red.

conclusion: the inbox delays no task by more than the writing of those before it.

--- a/pkg/overseer/scan.go
+++ b/pkg/overseer/scan.go
@@ -109,6 +109,10 @@
 			c.cell.Accept(now, accepted.Spec, accepted.At)
 		}
 	}
+	if len(rows) == scanLimit {
+		// Rows may follow that this scan did not return.
+		c.cell.CommitWaiting()
+	}
 	for _, row := range rows {
 		if isCancel(row.Key) {
 			c.cell.Cancel(now, strings.TrimSuffix(strings.TrimPrefix(row.Key, "inbox/"), cancelSuffix))
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -195,6 +195,17 @@
 	c.enqueue(e)
 }
 
+// CommitWaiting makes the next commits write the waiting tasks of the inbox as rows
+// of tasks, which removes them from the inbox. Otherwise a task is first written
+// when it is placed.
+func (c *Cell) CommitWaiting() {
+	for _, e := range c.queue {
+		if e.fromInbox && !e.inFlight {
+			c.changed[e.Spec.ID] = e
+		}
+	}
+}
+
 // Cancel applies a cancellation from the inbox. The next commit deletes its row.
 func (c *Cell) Cancel(now time.Time, id string) {
 	c.now = now
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -57,6 +57,7 @@
 guard reports-give-quorum-again pkg/overseer/core.go 's/^\tmayRenew := .*/\tmayRenew := c.mayRenewTasks(now)\n\tif !mayRenew {\n\t\treturn\n\t}/' $simulation TestOutageWithFewUnreachableWorkers
 guard other-workers-wait-for-the-horizon pkg/overseer/core.go 's/ \|\| value.Workers == c.workersDigest//; s/row.Version == 0$/true/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
 guard quorum-of-all-earlier-owners pkg/overseer/commit.go 's/if c.formersNeedQuorum \|\|.*/if true {/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
+guard waiting-tasks-leave-the-inbox pkg/overseer/scan.go 's/^\t\tc.cell.CommitWaiting\(\)//' $simulation TestWaitingTasksDoNotHideOthers
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
