Try each waiting task in time, however many do not fit

cause: one pass over the queue ends after 100 failed placements of unlike tasks. Each pass began at the head again, so that a task behind 100 unlike tasks without room was never tried, although there was room for it.

ruled out: a higher bound (moves the number only), passes that begin where the last one ended (the most urgent tasks are then tried less often).

change: a pass fails 100 placements from the head and up to 100 more from where the last pass ended.

conclusion: a queue of n unlike tasks is tried within n/100 passes; a pass fails at most 200 placements, before 100.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -17,7 +17,8 @@
 	// clockMargin allows for clocks that run at different rates.
 	clockMargin = 500 * time.Millisecond
 	// maxFailedPlacements bounds the number of dissimilar tasks that one pass over
-	// the queue fails to place before it stops trying.
+	// the queue fails to place from its head, and again from where the last pass
+	// ended.
 	maxFailedPlacements = 100
 	// maxCommitRows bounds the task rows of one transaction.
 	maxCommitRows = 500
@@ -61,10 +62,12 @@
 	// changed holds the tasks whose row must be written.
 	changed map[string]*trackedTask
 	queue   []*trackedTask
-	cancels []string
-	audit   []publisher.AuditRow
-	quotas  map[string]publisher.Resources
-	used    map[string]publisher.Resources
+	// resumeAt is the first task that the last pass over the queue did not try.
+	resumeAt *trackedTask
+	cancels  []string
+	audit    []publisher.AuditRow
+	quotas   map[string]publisher.Resources
+	used     map[string]publisher.Resources
 	// replicas holds the replicas of each latency-critical service.
 	replicas       map[string]*replicaSet
 	serial         int
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -10,9 +10,11 @@
 // place binds queued tasks to workers: the most urgent first, then the oldest.
 func (c *Cell) place() {
 	waiting := c.queue[:0]
-	var failed failedPlacements
+	failed := failedPlacements{
+		resumeAt: c.resumeAt,
+	}
 	for _, e := range c.queue {
-		if failed.covers(e) || !c.withinQuota(e) {
+		if failed.skips(e) || failed.covers(e) || !c.withinQuota(e) {
 			waiting = append(waiting, e)
 			continue
 		}
@@ -24,6 +26,7 @@
 	}
 	clear(c.queue[len(waiting):])
 	c.queue = waiting
+	c.resumeAt = failed.next
 }
 
 func (c *Cell) placeOne(e *trackedTask) bool {
@@ -177,18 +180,36 @@
 // Similar tasks are then not tried, so that a long queue of them costs little.
 type failedPlacements struct {
 	tasks []*trackedTask
+	// resumeAt is the first task that the last pass did not try, or nil, and next
+	// the first that this pass does not try.
+	resumeAt, next *trackedTask
 }
 
 func (p *failedPlacements) add(e *trackedTask) {
 	p.tasks = append(p.tasks, e)
 }
 
-// covers reports whether a task needs at least as much as one that could not be
-// placed, or whether too many placements have failed in this pass.
-func (p *failedPlacements) covers(e *trackedTask) bool {
-	if len(p.tasks) >= maxFailedPlacements {
+// skips reports whether a task is left to a later pass, since too many placements
+// have failed in this one. Each pass tries tasks from the head of the queue, and
+// then tasks from where the last pass ended, so that each task is tried in time.
+func (p *failedPlacements) skips(e *trackedTask) bool {
+	switch {
+	case len(p.tasks) < maxFailedPlacements:
+		return false
+	case p.resumeAt != nil && compareQueueOrder(e, p.resumeAt) < 0:
 		return true
+	case len(p.tasks) < 2*maxFailedPlacements:
+		return false
+	}
+	if p.next == nil {
+		p.next = e
 	}
+	return true
+}
+
+// covers reports whether a task needs at least as much as one that could not be
+// placed.
+func (p *failedPlacements) covers(e *trackedTask) bool {
 	for _, failed := range p.tasks {
 		if failed.AcceptedAt.After(e.AcceptedAt) {
 			// This task is older, so it may already be past maxInterferenceWait
