End the trial of a worker when its task ends or runs on

cause: after its quarantine, a worker gets one task on trial. The trial ended only when a task succeeded or failed, or the worker was empty. A trial that was cancelled, evicted or lost, or that is a replica and does not end, left a worker on which a replica runs without new tasks for ever.

change: a trial is over when its task is no longer bound to the worker, and has succeeded when the worker reports the task as running for 10 s.

before / after: go test ./pkg/placer -run TestTrialEndsWithoutResult: the next task stays accepted in both cases / is placed.

conclusion: the quarantine itself still doubles up to 10 minutes.

--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -36,7 +36,7 @@
 	}
 	w := c.workers[c.choose(e, excludeWorker(fitting, e.lastFailedWorker)).Address]
 	if len(w.failedTasks) >= quarantineThreshold {
-		w.onTrial = true
+		w.beginTrial(e)
 	}
 	e.Worker = w.address
 	e.WorkerIncarnation = w.incarnation
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -120,6 +120,7 @@
 		e.reportedThrottled = t.Throttled
 		switch t.State {
 		case RunRunning:
+			w.recordRunning(c.now, e)
 			c.handleRunning(e)
 		case RunDone:
 			w.recordSuccess()
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -18,6 +18,9 @@
 	quarantineThreshold = 3
 	minQuarantine       = 10 * time.Second
 	maxQuarantine       = 10 * time.Minute
+	// trialDuration is how long a task must run on a worker after its quarantine for
+	// the worker to count as sound, if the task does not end before.
+	trialDuration = 10 * time.Second
 )
 
 // RunState is the state of a start as reported by a worker.
@@ -82,7 +85,10 @@
 	failedTasks     []string
 	quarantine      time.Duration
 	quarantineUntil time.Time
-	onTrial         bool
+	// trial is the task that was placed last after the quarantine, and
+	// trialRunsSince when the worker first reported it as running.
+	trial          *trackedTask
+	trialRunsSince time.Time
 }
 
 // placed returns the tasks bound to the worker, sorted by id.
@@ -103,7 +109,7 @@
 		}
 	}
 	w.failedTasks = append(w.failedTasks, id)
-	w.onTrial = false
+	w.trial = nil
 	if len(w.failedTasks) < quarantineThreshold {
 		return false
 	}
@@ -115,7 +121,31 @@
 func (w *worker) recordSuccess() {
 	w.failedTasks = nil
 	w.quarantine = 0
-	w.onTrial = false
+	w.trial = nil
+}
+
+// beginTrial records that a task is placed on the worker after its quarantine.
+func (w *worker) beginTrial(e *trackedTask) {
+	w.trial = e
+	w.trialRunsSince = time.Time{}
+}
+
+// recordRunning records that the worker reports a task as running. A trial that
+// does not end, such as a replica, succeeds after trialDuration.
+func (w *worker) recordRunning(now time.Time, e *trackedTask) {
+	switch {
+	case w.trial != e:
+	case w.trialRunsSince.IsZero():
+		w.trialRunsSince = now
+	case now.Sub(w.trialRunsSince) >= trialDuration:
+		w.recordSuccess()
+	}
+}
+
+// onTrial reports whether the worker has a trial. One that was cancelled, evicted
+// or lost is no longer bound to it.
+func (w *worker) onTrial() bool {
+	return w.trial != nil && w.tasks[w.trial.Spec.ID] == w.trial
 }
 
 // usable reports whether tasks may be placed on the worker now. After its
@@ -127,7 +157,5 @@
 	if len(w.failedTasks) < quarantineThreshold {
 		return true
 	}
-	// A trial that was cancelled or lost leaves the worker without tasks.
-	onTrial := w.onTrial && len(w.tasks) > 0
-	return now.After(w.quarantineUntil) && !onTrial
+	return now.After(w.quarantineUntil) && !w.onTrial()
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -59,6 +59,8 @@
 guard quorum-of-all-earlier-owners pkg/overseer/commit.go 's/if c.formersNeedQuorum \|\|.*/if true {/' $simulation TestOwnerWithOtherWorkersIsWaitedFor
 guard waiting-tasks-leave-the-inbox pkg/overseer/scan.go 's/^\t\tc.cell.CommitWaiting\(\)//' $simulation TestWaitingTasksDoNotHideOthers
 guard each-task-is-tried-in-time pkg/placer/placing.go 's/c.resumeAt = failed.next/c.resumeAt = nil/' pkg/placer TestTaskBehindManyUnlikeTasksIsPlaced
+guard trial-ends-with-its-task pkg/placer/worker.go 's/ \&\& w.tasks\[w.trial.Spec.ID\] == w.trial//' pkg/placer TestTrialEndsWithoutResult
+guard long-trial-succeeds pkg/placer/reconcile.go 's/^\t\t\tw.recordRunning\(c.now, e\)//' pkg/placer TestTrialEndsWithoutResult
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
