Release throttled tasks when the service leaves their worker

cause: a throttled task runs at full speed again when a service on its worker reports a slowdown below 1.1. Once the replica was moved or is no longer needed, no report comes and the task runs at a fraction of its speed until it ends.

change: when a worker runs no service, maxReportLag after the last change, its tasks are released.

before / after: go test ./pkg/placer -run TestThrottledTaskIsReleasedWhenServiceLeaves: no command / the release. Guard throttling-ends-with-the-service red.

--- a/pkg/placer/interference.go
+++ b/pkg/placer/interference.go
@@ -167,6 +167,8 @@
 		}
 	}
 	switch {
+	case len(w.colocatedTasks().services) == 0:
+		w.unthrottleAll(c.now)
 	case worst > slowdownLimit:
 		c.mitigate(w, service)
 	case worst > 0 && worst < unthrottleSlowdown:
@@ -207,6 +209,17 @@
 	w.recordChange(c.now)
 }
 
+// unthrottleAll lets all tasks of a worker without services run at full speed: no
+// report of a slowdown will release them.
+func (w *worker) unthrottleAll(now time.Time) {
+	for _, e := range w.tasks {
+		if e.throttled {
+			e.throttled = false
+			w.recordChange(now)
+		}
+	}
+}
+
 // mostInterfering returns the running batch task, throttled or not as given, with
 // the highest predicted interference with the service.
 func (c *Cell) mostInterfering(w *worker, service string, throttled bool) *trackedTask {
--- a/pkg/placer/interference_test.go
+++ b/pkg/placer/interference_test.go
@@ -137,3 +137,21 @@
 	c.Tick(start.Add(maxInterferenceWait))
 	assert.Equal(t, stateOf(t, c, "last"), StateAccepted)
 }
+
+// Guards against a task that runs throttled until it ends, because the service
+// for which it was throttled has left the worker and reports no slowdown there.
+func TestThrottledTaskIsReleasedWhenServiceLeaves(t *testing.T) {
+	c := testCell(t, 1)
+	c.Accept(start, spec("a", 1000), start)
+	c.Tick(start)
+	commitAll(c, start)
+	report := TaskReport{ID: "cell-1/a", Start: 1, State: RunRunning, Throttled: true}
+	c.HandleReport(start, "worker-000", reportOf(1, report))
+	e := c.tasks["cell-1/a"]
+	e.throttled = true
+	now := start.Add(maxReportLag + time.Second)
+	c.HandleReport(now, "worker-000", reportOf(1, report))
+	commands := c.Sync(now, "worker-000", true).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, commands[0].Kind, CommandUnthrottle)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -61,6 +61,7 @@
 guard each-task-is-tried-in-time pkg/placer/placing.go 's/c.resumeAt = failed.next/c.resumeAt = nil/' pkg/placer TestTaskBehindManyUnlikeTasksIsPlaced
 guard trial-ends-with-its-task pkg/placer/worker.go 's/ \&\& w.tasks\[w.trial.Spec.ID\] == w.trial//' pkg/placer TestTrialEndsWithoutResult
 guard long-trial-succeeds pkg/placer/reconcile.go 's/^\t\t\tw.recordRunning\(c.now, e\)//' pkg/placer TestTrialEndsWithoutResult
+guard throttling-ends-with-the-service pkg/placer/interference.go 's/^\t\tw.unthrottleAll\(c.now\)//' pkg/placer TestThrottledTaskIsReleasedWhenServiceLeaves
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
