Bound the wait for a suitable worker by the owner's clock

cause: a batch task waits 30 s for a worker whose services it would not slow. The wait was measured from the time at which the entry accepted the task, in the entry's clock. With a clock an hour ahead the task waited an hour and 30 s, with room.

change: the wait is measured from when the owner first saw the task. It begins anew with a change of owner.

before / after: go test ./pkg/placer -run TestInterferenceWaitIsByOwnClock: still accepted after 31 s / placed.

conclusion: the order of the queue still follows AcceptedAt, so a wrong clock changes the order but not the bound.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -27,6 +27,9 @@
 // trackedTask is a task with the owner's state that is not part of its row.
 type trackedTask struct {
 	Task
+	// seenAt is when this owner first saw the task, in its own clock; AcceptedAt is
+	// a time of the entry that accepted the task.
+	seenAt time.Time
 	// version is the version of the row; zero means that it is not written yet.
 	version uint64
 	// committed is the state in the row, and committedStart the start it was
@@ -152,6 +155,7 @@
 func (c *Cell) Load(t Task, version uint64) {
 	e := &trackedTask{
 		Task:           t,
+		seenAt:         c.now,
 		version:        version,
 		committed:      t.State,
 		committedStart: t.Start,
@@ -189,6 +193,7 @@
 			State:      StateAccepted,
 			AcceptedAt: acceptedAt,
 		},
+		seenAt:    now,
 		fromInbox: true,
 	}
 	c.tasks[spec.ID] = e
--- a/pkg/placer/interference.go
+++ b/pkg/placer/interference.go
@@ -254,7 +254,7 @@
 			least, leastSlowdown = i, slowdown
 		}
 	}
-	if len(within) == 0 && least >= 0 && c.now.Sub(e.AcceptedAt) > maxInterferenceWait {
+	if len(within) == 0 && least >= 0 && c.now.Sub(e.seenAt) > maxInterferenceWait {
 		return fitting[least : least+1]
 	}
 	return within
--- a/pkg/placer/interference_test.go
+++ b/pkg/placer/interference_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
 // cellWithColocatedTasks returns a cell whose one worker runs a replica and two
@@ -155,3 +157,24 @@
 	assert.Equal(t, len(commands), 1)
 	assert.Equal(t, commands[0].Kind, CommandUnthrottle)
 }
+
+// Guards against a task that waits for as long as the clock of the entry which
+// accepted it is ahead.
+func TestInterferenceWaitIsByOwnClock(t *testing.T) {
+	c := testCell(t, 1)
+	c.SetReplicas("central-polls", ReplicaNeed{
+		Team:  "condor",
+		Count: 1,
+		Needs: publisher.Resources{
+			ProcessorMillis: 1000,
+		},
+	})
+	c.Tick(start)
+	commitAll(c, start)
+	c.Interference.excess[pair{"central-polls", ""}] = 2
+	c.Accept(start, spec("a", 1000), start.Add(time.Hour))
+	c.Tick(start.Add(time.Second))
+	assert.Equal(t, stateOf(t, c, "a"), StateAccepted)
+	c.Tick(start.Add(maxInterferenceWait + time.Second))
+	assert.Equal(t, stateOf(t, c, "a"), StatePlaced)
+}
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -211,9 +211,9 @@
 // placed.
 func (p *failedPlacements) covers(e *trackedTask) bool {
 	for _, failed := range p.tasks {
-		if failed.AcceptedAt.After(e.AcceptedAt) {
-			// This task is older, so it may already be past maxInterferenceWait
-			// and fit where the younger one did not.
+		if failed.seenAt.After(e.seenAt) {
+			// This task was seen earlier, so it may already be past maxInterferenceWait
+			// and fit where the other one did not.
 			continue
 		}
 		if failed.Spec.Class == e.Spec.Class && failed.Spec.Kind == e.Spec.Kind && publisher.Within(failed.Spec.Needs, e.Spec.Needs) {
--- a/pkg/placer/replicas.go
+++ b/pkg/placer/replicas.go
@@ -108,6 +108,7 @@
 			State:      StateAccepted,
 			AcceptedAt: c.now,
 		},
+		seenAt: c.now,
 	}
 	c.tasks[e.Spec.ID] = e
 	c.changed[e.Spec.ID] = e
