Stop no replica of a service whose document is not known yet

cause: a new owner reads the tasks of replicas from the table. If it acquired the cell before it had read the document of a service, it took the need for zero and cancelled all replicas of the service; each was missing until the document came and a new one started.

change: replicas are neither added nor cancelled before the need is set.

before / after: go test ./pkg/placer -run TestReplicasOfUnknownServiceKeepRunning: cancelling / running.

conclusion: quotas that are not known yet are still taken as unlimited.

--- a/pkg/placer/replicas.go
+++ b/pkg/placer/replicas.go
@@ -32,6 +32,9 @@
 // replicaSet is the need of one service and the tasks of its replicas.
 type replicaSet struct {
 	need ReplicaNeed
+	// needKnown is set once the service's need was set. A new owner has read the
+	// tasks of replicas before it may know the need.
+	needKnown bool
 	// tasks holds the task of each replica by its index.
 	tasks map[int]*trackedTask
 	// notBefore is the earliest time of the next task of each replica.
@@ -42,6 +45,7 @@
 func (c *Cell) SetReplicas(service string, need ReplicaNeed) {
 	set := c.replicaSet(service)
 	set.need = need
+	set.needKnown = true
 }
 
 func (c *Cell) replicaSet(service string) *replicaSet {
@@ -69,6 +73,9 @@
 func (c *Cell) reconcileReplicas() {
 	for _, service := range slices.Sorted(maps.Keys(c.replicas)) {
 		set := c.replicas[service]
+		if !set.needKnown {
+			continue
+		}
 		for index := range set.need.Count {
 			e := set.tasks[index]
 			if e != nil && !e.State.Final() {
