Withdraw a start that its worker does not list

cause: a start that a worker never listed was sent to it again for ever, and a start that it no longer listed was taken to run for ever, with its room allocated. Only a new incarnation of the worker or its loss ended that, although other workers had room.

ruled out: placing the task again at once (a delayed call may still start it, so it could run twice), counting it as a failure of the task (it did not run).

change: after reports without the start over 5 s, the worker gets a stop command, which forbids a late start. Once it reports the start as stopped, the task is placed elsewhere, and the worker counts as having failed one task.

before / after: go test ./pkg/placer -run TestUnlistedStartIsWithdrawn: the start again, and no command / the stop, then placed on the other worker.

conclusion: a worker that reports, but acts on no command at all, keeps its tasks bound; the owner can't know that they don't run there while it renews the lease.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -47,8 +47,14 @@
 	countedInQuota bool
 	// lastFailedWorker is the worker on which the task failed last.
 	lastFailedWorker string
-	// confirmed is set once the worker has reported this start.
+	// sent is set once a call to the worker contained this start, and confirmed once
+	// the worker has reported it.
+	sent      bool
 	confirmed bool
+	// unlistedSince is the time of the first of the latest reports without this
+	// start, or zero. After maxUnlisted it is withdrawn.
+	unlistedSince time.Time
+	withdrawn     bool
 }
 
 // Cell makes the scheduling decisions for the workers and tasks of one cell, on
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -82,6 +82,10 @@
 		ID:    e.Spec.ID,
 		Start: e.Start,
 	}
+	if e.withdrawn {
+		command.Kind = CommandStop
+		return command, true
+	}
 	switch e.State {
 	case StateCancelling:
 		command.Kind = CommandStop
@@ -94,6 +98,7 @@
 		if !committed || e.confirmed || !mayStart {
 			return command, false
 		}
+		e.sent = true
 		command.Kind = CommandStart
 		command.Needs = e.Spec.Needs
 		command.Checkpoint = e.Checkpoint
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
@@ -41,7 +42,10 @@
 	e.Worker = w.address
 	e.WorkerIncarnation = w.incarnation
 	e.Start++
+	e.sent = false
 	e.confirmed = false
+	e.unlistedSince = time.Time{}
+	e.withdrawn = false
 	e.throttled = false
 	w.allocations.Allocate(e.Spec.ID, e.Spec.Needs)
 	c.bind(e)
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -111,11 +111,13 @@
 
 // reconcile compares a worker's report with the tasks placed on it.
 func (c *Cell) reconcile(w *worker, r Report) {
+	listed := map[*trackedTask]bool{}
 	for _, t := range r.Tasks {
 		e := c.tasks[t.ID]
 		if e == nil || e.Worker != w.address || e.Start != t.Start || e.State.Final() {
 			continue
 		}
+		listed[e] = true
 		e.confirmed = true
 		e.reportedThrottled = t.Throttled
 		switch t.State {
@@ -128,9 +130,28 @@
 		case RunFailed:
 			c.handleFailed(w, e)
 		case RunStopped:
-			c.handleStopped(e, t)
+			c.handleStopped(w, e, t)
 		}
 	}
+	for _, e := range w.tasks {
+		e.recordListing(c.now, listed[e])
+	}
+}
+
+// recordListing records whether a report of its worker lists the task. A start that
+// was sent and is not listed for maxUnlisted is withdrawn: the worker is told to
+// stop it, which forbids a late start, and the task is placed again once the worker
+// reports that.
+func (e *trackedTask) recordListing(now time.Time, listed bool) {
+	mayRun := e.sent || e.confirmed || e.State != StatePlaced
+	switch {
+	case listed || !mayRun:
+		e.unlistedSince = time.Time{}
+	case e.unlistedSince.IsZero():
+		e.unlistedSince = now
+	case now.Sub(e.unlistedSince) >= maxUnlisted:
+		e.withdrawn = true
+	}
 }
 
 func (c *Cell) handleRunning(e *trackedTask) {
@@ -153,9 +174,7 @@
 func (c *Cell) handleFailed(w *worker, e *trackedTask) {
 	e.Failures++
 	e.lastFailedWorker = w.address
-	if w.recordFailure(c.now, e.Spec.ID) {
-		c.recordAudit("worker set aside", e, w.address, w.quarantineUntil.Format(time.RFC3339), "it failed several tasks in a row")
-	}
+	c.recordFailure(w, e)
 	if e.State == StateCancelling || e.Failures >= maxFailures {
 		c.finish(e, triggerFail, "the task failed on its worker")
 		return
@@ -164,9 +183,16 @@
 	c.requeue(e)
 }
 
+// recordFailure records that a worker failed a task or did not run it.
+func (c *Cell) recordFailure(w *worker, e *trackedTask) {
+	if w.recordFailure(c.now, e.Spec.ID) {
+		c.recordAudit("worker set aside", e, w.address, w.quarantineUntil.Format(time.RFC3339), "it failed several tasks in a row")
+	}
+}
+
 // handleStopped handles a start that the worker stopped, either on command or
 // because its lease expired.
-func (c *Cell) handleStopped(e *trackedTask, t TaskReport) {
+func (c *Cell) handleStopped(w *worker, e *trackedTask, t TaskReport) {
 	if e.State == StateCancelling {
 		c.finish(e, triggerStop, "cancelled")
 		return
@@ -178,6 +204,10 @@
 	if t.Checkpoint != "" {
 		e.Checkpoint = t.Checkpoint
 	}
+	if e.withdrawn {
+		e.lastFailedWorker = w.address
+		c.recordFailure(w, e)
+	}
 	c.release(e)
 	c.requeue(e)
 }
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -13,6 +13,9 @@
 	// a change of the cell's owner, so that such a change stops no task, and short
 	// enough for a lost replica to be replaced within 8 s.
 	TaskLease = 7 * time.Second
+	// maxUnlisted is how long a worker may report without a start that was sent to
+	// it. With the time of two calls it is below the 8 s for a lost replica.
+	maxUnlisted = 5 * time.Second
 	// quarantineThreshold is how many starts of different tasks must fail in a
 	// row before a worker is quarantined.
 	quarantineThreshold = 3
