Place tasks of a removed worker again

cause: a new owner read the tasks of a worker that is no longer among the cell's workers, and bound them to it. No call, report or lease of that worker follows, so the tasks stayed placed for ever and counted in the quota of their team.

change: such a worker is kept, without calls, until its leases have ended; its tasks are then placed elsewhere. The guard takeover-waits-for-the-horizon names the same line in its new place.

before / after: go test ./pkg/placer -run TestTaskOfRemovedWorkerIsPlacedAgain: bound to the removed worker / placed on the other after the wait for its leases. Guards removed-worker-loses-its-tasks and takeover-waits-for-the-horizon red.

conclusion: the wait is the orphan horizon, since the former owner had other workers.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -67,7 +67,10 @@
 	workers map[string]*worker
 	// addresses are the workers' addresses, sorted.
 	addresses []string
-	tasks     map[string]*trackedTask
+	// removed are the addresses of workers that the cell no longer has, with tasks
+	// that an earlier owner placed there.
+	removed []string
+	tasks   map[string]*trackedTask
 	// changed holds the tasks whose row must be written.
 	changed map[string]*trackedTask
 	queue   []*trackedTask
@@ -150,16 +153,21 @@
 	}
 	c.stateMachine = newLifeCycle(func() *Task { return &c.current.Task })
 	for _, address := range workers {
-		c.workers[address] = &worker{
-			address: address,
-			tasks:   map[string]*trackedTask{},
-			// An earlier owner may have renewed leases up to this time.
-			leaseEnd: now.Add(leaser.OrphanHorizon + TaskLease),
-		}
+		c.addWorker(address)
 	}
 	return c
 }
 
+// addWorker adds a worker that has not reported yet.
+func (c *Cell) addWorker(address string) {
+	c.workers[address] = &worker{
+		address: address,
+		tasks:   map[string]*trackedTask{},
+		// An earlier owner may have renewed leases up to this time.
+		leaseEnd: c.now.Add(leaser.OrphanHorizon + TaskLease),
+	}
+}
+
 // Load adds a task from its row, as read on takeover.
 func (c *Cell) Load(t Task, version uint64) {
 	e := &trackedTask{
@@ -178,6 +186,11 @@
 	case t.State == StateAccepted:
 		c.enqueue(e)
 	default:
+		if c.workers[t.Worker] == nil {
+			// The worker was removed. It is never called, so its leases end.
+			c.addWorker(t.Worker)
+			c.removed = append(c.removed, t.Worker)
+		}
 		c.bind(e)
 	}
 	c.tasks[t.Spec.ID] = e
@@ -261,7 +274,7 @@
 // the replicas of each service complete, and places queued tasks.
 func (c *Cell) Tick(now time.Time) {
 	c.now = now
-	for _, address := range c.addresses {
+	for _, address := range slices.Concat(c.addresses, c.removed) {
 		w := c.workers[address]
 		if !w.reachable && now.After(w.leaseEnd.Add(clockMargin)) {
 			c.loseAllTasks(w, "the worker's lease lapsed")
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -36,12 +36,12 @@
 		return
 	}
 	reported := 0
-	for _, w := range c.workers {
-		if w.registered {
+	for _, address := range c.addresses {
+		if c.workers[address].registered {
 			reported++
 		}
 	}
-	if 2*reported < len(c.workers) {
+	if 2*reported < len(c.addresses) {
 		return
 	}
 	c.formerOwnersStopped = true
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -48,7 +48,7 @@
 guard stale-attempts-are-ignored pkg/dispatcher/attempt.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestOnlyCompleteAnswersAreDelivered
 cell='TestCellUnderFaults'
 guard cell-row-guards-commits pkg/overseer/commit.go 's/c.drop\(now\)/c.lease.Confirmed(w.firstSent); c.written(now, w)/' $simulation $cell
-guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
+guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: c.now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: c.now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
 guard former-owner-needs-quorum pkg/overseer/core.go 's/c.quorum.has\(now, c.cell.Workers\(\)\)/true/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
 guard quorum-ends-after-the-new-one pkg/placer/reconcile.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
 guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/q.incarnations\[worker\] != incarnation/false/' $simulation TestRestartedWorkersAreNoQuorum
@@ -66,6 +66,7 @@
 guard unknown-need-stops-no-replica pkg/placer/replicas.go 's/if !set.needKnown/if false/' pkg/placer TestReplicasOfUnknownServiceKeepRunning
 guard unlisted-starts-are-withdrawn pkg/placer/reconcile.go 's/e.withdrawn = true/e.withdrawn = false/' pkg/placer TestUnlistedStartIsWithdrawn
 guard cancellation-is-deleted-once pkg/placer/output.go 's/c.cancelsInFlight = c.cancels/c.cancelsInFlight = nil/' $simulation TestCancellationsKeepOwnerOfSlowTable
+guard removed-worker-loses-its-tasks pkg/placer/cell.go 's/slices.Concat\(c.addresses, c.removed\)/c.addresses/' pkg/placer TestTaskOfRemovedWorkerIsPlacedAgain
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
