Slow the table in the check of missing tasks, and check the owner

change: TestTasksRunAfterFaults also delays the calls to the table by up to 0.5 s, and requires that the cell keeps its owner once the last change has settled.

--- a/pkg/experimenter/cell_liveness_test.go
+++ b/pkg/experimenter/cell_liveness_test.go
@@ -124,8 +124,14 @@
 			})
 			sim.RunUntil(faultsUntil.Add(maxFaultSpan))
 			endFaultsWithLosses(sim, rnd)
+			settledAt := sim.Now().Add(maxMissing)
+			var epoch uint64
 			for sim.Now().Before(calmUntil) {
 				check.run(t)
+				if sim.Now().Before(settledAt) {
+					epoch = sim.epoch()
+				}
+				assert.Equal(t, sim.epoch(), epoch, "the cell changed its owner without a fault")
 				sim.RunUntil(sim.Now().Add(100 * time.Millisecond))
 			}
 			t.Logf("longest missing %s, %d of %d tasks left", check.longest, len(check.accepted), len(submitted))
@@ -153,12 +159,12 @@
 }
 
 // injectCellFaultOrPartition injects a fault of TestCellUnderFaults, makes a worker
-// fail its tasks, or cuts an owner off from the table or from random workers.
+// fail its tasks, slows the table, or cuts an owner off from the table or from random workers.
 func injectCellFaultOrPartition(sim *CellSimulation, rnd *rand.Rand, submitted map[string]bool) {
 	o := sim.Owners[rnd.IntN(len(sim.Owners))]
 	worker := sim.Workers[rnd.IntN(len(sim.Workers))].Worker
 	span := time.Duration(rnd.Int64N(int64(maxFaultSpan)))
-	switch rnd.IntN(5) {
+	switch rnd.IntN(6) {
 	case 0:
 		worker.FailAll = true
 		sim.After(span/3, func() { worker.FailAll = false })
@@ -178,6 +184,9 @@
 				delete(o.unreachableWorkers, address)
 			}
 		})
+	case 2:
+		sim.TableDelay = span / 30
+		sim.After(span, func() { sim.TableDelay = callDelay })
 	default:
 		injectRandomCellFault(sim, rnd, submitted)
 	}
