Pause before a new owner repeats a refused scan

cause: a new owner repeated a failed scan of the tasks at once. While the table refuses calls immediately, as by its limit of calls, the owner called it without a pause.

change: the scan is repeated after 0.2 s, as writes are.

before / after: go test ./pkg/overseer -run TestRefusedScanIsRepeatedAfterPause: a scan at once / none before 0.2 s, then one.

--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -28,8 +28,8 @@
 	inboxInterval     = 250 * time.Millisecond
 	idleInboxInterval = time.Second
 	busyInboxWindow   = 5 * time.Second
-	// resendInterval is the wait before a write is sent again after its response
-	// was lost.
+	// resendInterval is the wait before a write whose response was lost, or a scan
+	// that failed, is sent again.
 	resendInterval = 200 * time.Millisecond
 	// scanLimit is the maximum number of rows that one scan returns.
 	scanLimit = 500
@@ -97,10 +97,13 @@
 	// scanStale is set when the inbox changed after its last scan was requested.
 	scanStale bool
 	loading   *placer.Cell
-	nextRead  time.Time
-	nextScan  time.Time
-	lastInbox time.Time
-	nextSweep time.Time
+	// failedScan is the scan of the tasks to be repeated at rescanAt, or nil.
+	failedScan *ScanRows
+	rescanAt   time.Time
+	nextRead   time.Time
+	nextScan   time.Time
+	lastInbox  time.Time
+	nextSweep  time.Time
 	// sweepCursor is the key of the ended task that was checked last.
 	sweepCursor string
 	// expiredDeletes are the deletions of ended tasks that are past their retention.
@@ -178,6 +181,7 @@
 		c.scanInbox(now)
 		c.callWorkers(now)
 	}
+	c.rescan(now)
 	c.commit(now)
 	return c.drainActions()
 }
@@ -228,6 +232,7 @@
 	c.lease.Lost()
 	c.cell = nil
 	c.loading = nil
+	c.failedScan = nil
 	c.expiredDeletes = nil
 	c.scanning = false
 	c.staleRunCommands = map[string][]placer.Command{}
--- a/pkg/overseer/scan.go
+++ b/pkg/overseer/scan.go
@@ -21,6 +21,16 @@
 	})
 }
 
+// rescan repeats a scan of the tasks that failed.
+func (c *Core) rescan(now time.Time) {
+	if c.failedScan == nil || now.Before(c.rescanAt) {
+		return
+	}
+	request := *c.failedScan
+	c.failedScan = nil
+	c.scan(request.Prefix, request.After, request.Limit)
+}
+
 func (c *Core) scanInbox(now time.Time) {
 	if c.scanning || now.Before(c.nextScan) {
 		return
@@ -58,7 +68,8 @@
 		}
 	case c.loading == nil:
 	case err != nil:
-		c.scan(request.Prefix, request.After, request.Limit)
+		c.failedScan = &request
+		c.rescanAt = now.Add(resendInterval)
 	default:
 		c.load(now, request, rows)
 	}
