Count no worker for the quorum that was not known with the lease

cause: a worker of incarnation 0 that the owner first saw after its lease had expired counted, since the incarnation of an unknown worker is 0 too.

before / after: go test ./pkg/overseer -run TestQuorum: a quorum of such workers / none. Guard restarted-workers-are-no-quorum red.

--- a/pkg/overseer/quorum.go
+++ b/pkg/overseer/quorum.go
@@ -36,7 +36,7 @@
 	if ownerIsSole {
 		q.incarnations[worker] = incarnation
 	}
-	if q.incarnations[worker] != incarnation {
+	if known, ok := q.incarnations[worker]; !ok || known != incarnation {
 		delete(q.acceptedAt, worker)
 		return
 	}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -51,7 +51,7 @@
 guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: c.now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: c.now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
 guard former-owner-needs-quorum pkg/overseer/core.go 's/c.quorum.has\(now, c.cell.Workers\(\)\)/true/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
 guard quorum-ends-after-the-new-one pkg/placer/reconcile.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
-guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/q.incarnations\[worker\] != incarnation/false/' $simulation TestRestartedWorkersAreNoQuorum
+guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/!ok \|\| known != incarnation/!ok \&\& known != known/' $simulation TestRestartedWorkersAreNoQuorum
 guard new-quorum-shortens-the-wait pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestWorkerLostTogetherWithOwner
 guard missing-tasks-are-found pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestTasksRunAfterFaults
 guard reports-give-quorum-again pkg/overseer/core.go 's/^\tmayRenew := .*/\tmayRenew := c.mayRenewTasks(now)\n\tif !mayRenew {\n\t\treturn\n\t}/' $simulation TestOutageWithFewUnreachableWorkers
