--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -149,102 +148,6 @@
 	return d.takeActions()
 }
 
-// ClaimResult is the result of a claim.
-type ClaimResult int
-
-// The results of a claim.
-const (
-	// ClaimGranted: the id belongs to this request.
-	ClaimGranted ClaimResult = iota + 1
-	// ClaimTaken: another request owns the id.
-	ClaimTaken
-	// ClaimUnavailable: the claim failed without a confirmed result; it may
-	// have taken effect.
-	ClaimUnavailable
-)
-
-// Claimed handles the result of a claim. A claim without a confirmed result is
-// released, since it may have taken effect.
-func (d *Dispatcher) Claimed(now time.Time, id string, result ClaimResult) []Action {
-	q := d.requests[id]
-	if q == nil || q.stage != StageClaiming {
-		return nil
-	}
-	switch result {
-	case ClaimGranted:
-		q.claimed = true
-		d.enqueue(now, d.services[q.Service], q)
-	case ClaimTaken:
-		d.finish(q, unknown(framer.ReasonDuplicate))
-	default:
-		q.claimed = true
-		d.finish(q, notRun(framer.ReasonStoreUnavailable))
-	}
-	return d.takeActions()
-}
-
-// Connect records a new link to the agent of an endpoint. Attempts in flight at
-// the same incarnation are fenced; those at another incarnation are lost.
-func (d *Dispatcher) Connect(now time.Time, name, address, failureDomain string, incarnation uint64) []Action {
-	s := d.services[name]
-	if s == nil {
-		return nil
-	}
-	d.serviceNameAt[address] = name
-	s.router.Connect(address, failureDomain, incarnation)
-	for _, q := range d.requestsAt(address) {
-		if q.stage != StageSent && q.stage != StageFencing {
-			continue
-		}
-		if q.incarnation != incarnation {
-			d.handleLostAttempt(now, s, q, framer.ReasonEndpointReplaced)
-			continue
-		}
-		q.stage = StageFencing
-		d.fence(now, q)
-	}
-	d.sendQueued(now, s)
-	return d.takeActions()
-}
-
-// Disconnect records that the link to an agent was lost. Attempts in flight there
-// wait for a new link and the reply to a fence: idempotent ones for at most
-// fenceTimeout, the others until their deadline.
-func (d *Dispatcher) Disconnect(now time.Time, address string) []Action {
-	s := d.serviceAt(address)
-	if s == nil {
-		return nil
-	}
-	s.router.Disconnect(address)
-	for _, q := range d.requestsAt(address) {
-		if q.stage != StageSent {
-			continue
-		}
-		q.stage = StageFencing
-		q.answerParts = nil
-		q.answerBytes = 0
-		if q.Idempotent {
-			d.addTimer(q, now.Add(fenceTimeout), timerFence)
-		}
-	}
-	return d.takeActions()
-}
-
-// EndpointReplaced records that the process of an endpoint was replaced by one of
-// a newer incarnation and will not return.
-func (d *Dispatcher) EndpointReplaced(now time.Time, address string, incarnation uint64) []Action {
-	s := d.serviceAt(address)
-	if s == nil {
-		return nil
-	}
-	for _, q := range d.requestsAt(address) {
-		if q.stage == StageFencing && q.incarnation < incarnation {
-			d.handleLostAttempt(now, s, q, framer.ReasonEndpointReplaced)
-		}
-	}
-	return d.takeActions()
-}
-
 // Receive handles a frame from the agent at address.
 func (d *Dispatcher) Receive(now time.Time, address string, f framer.Frame) []Action {
 	s := d.serviceAt(address)
@@ -324,49 +227,11 @@
 	return d.services[name] != nil
 }
 
-// EndpointState returns MemberLeaving if an endpoint has reported that it accepts
-// no new work, and MemberServing otherwise.
-func (d *Dispatcher) EndpointState(address string) framer.MemberState {
-	if s := d.serviceAt(address); s != nil && s.router.Leaving(address) {
-		return framer.MemberLeaving
-	}
-	return framer.MemberServing
-}
-
-// RemoveEndpoint removes an endpoint that has been unreachable for long.
-func (d *Dispatcher) RemoveEndpoint(address string) {
-	if s := d.serviceAt(address); s != nil {
-		s.router.Remove(address)
-	}
-}
-
-// requestsAt returns the requests last sent to an address, oldest first.
-func (d *Dispatcher) requestsAt(address string) []*request {
-	var list []*request
-	for _, q := range d.requests {
-		if q.address == address {
-			list = append(list, q)
-		}
-	}
-	slices.SortFunc(list, func(a, b *request) int {
-		if c := a.AcceptedAt.Compare(b.AcceptedAt); c != 0 {
-			return c
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return list
-}
-
 // serviceNames returns the names of the services in sorted order.
 func (d *Dispatcher) serviceNames() []string {
 	return slices.Sorted(maps.Keys(d.services))
 }
 
-// serviceAt returns the service of the endpoint at an address, or nil.
-func (d *Dispatcher) serviceAt(address string) *service {
-	return d.services[d.serviceNameAt[address]]
-}
-
 // enqueue admits a request to the queue of its service, or finishes it if the
 // queue refuses it.
 func (d *Dispatcher) enqueue(now time.Time, s *service, q *request) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -40,7 +40,7 @@
 guard replaced-endpoint-may-have-run pkg/dispatcher/attempt.go 's/^\tq.mayHaveRun = true\n\tswitch//; /^func \(d \*Dispatcher\) handleLostAttempt/,/^\}/s/q.mayHaveRun = true//' $simulation $random
 guard not-run-needs-proof pkg/dispatcher/outcome.go '/^func \(q \*request\) unsuccessful/,/^\}/s/if q.mayHaveRun/if false/' $simulation $random
 guard expired-in-flight-is-unknown pkg/dispatcher/outcome.go 's/d.finish\(q, unknown\(framer.ReasonExpired\)\)/d.finish(q, notRun(framer.ReasonExpired))/' $simulation $random
-guard claim-taken-is-refused pkg/dispatcher/dispatcher.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $simulation $random
+guard claim-taken-is-refused pkg/dispatcher/claim.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $simulation $random
 guard release-only-unrun pkg/dispatcher/outcome.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.addAction(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $simulation $random
 guard slots-limit-the-gate pkg/gatekeeper/free_slots.go 's/free := g.plan.Slots - g.total/free := 99/' $simulation $random
 guard leaving-gate-refuses pkg/gatekeeper/gate.go 's/if g.leaving \{/if false {/' $simulation $random
