--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -50,7 +50,7 @@
 guard cell-row-guards-commits pkg/overseer/commit.go 's/c.drop\(now\)/c.lease.Confirmed(w.firstSent); c.written(now, w)/' $simulation $cell
 guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: c.now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: c.now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
 guard former-owner-needs-quorum pkg/overseer/core.go 's/c.quorum.has\(now, c.cell.Workers\(\)\)/true/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
-guard quorum-ends-after-the-new-one pkg/placer/reconcile.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
+guard quorum-ends-after-the-new-one pkg/placer/former_leases.go 's/leaser.QuorumAge \+ TaskLease/0 * leaser.QuorumAge + TaskLease/' $simulation TestFormerOwnerRenewsOnlyWithQuorum
 guard restarted-workers-are-no-quorum pkg/overseer/quorum.go 's/!ok \|\| known != incarnation/!ok \&\& known != known/' $simulation TestRestartedWorkersAreNoQuorum
 guard new-quorum-shortens-the-wait pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestWorkerLostTogetherWithOwner
 guard missing-tasks-are-found pkg/placer/reconcile.go 's/^\tc.limitFormerLeases\(\)//' $simulation TestTasksRunAfterFaults
