--- a/pkg/experimenter/cell_liveness_test.go
+++ b/pkg/experimenter/cell_liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -75,7 +76,8 @@
 
 func (l *livenessCheck) run(t *testing.T) {
 	t.Helper()
-	for id, needs := range l.accepted {
+	for _, id := range slices.Sorted(maps.Keys(l.accepted)) {
+		needs := l.accepted[id]
 		if len(l.sim.Running[id]) > 0 {
 			l.observe(t, id, false)
 			continue
