--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -17,36 +17,13 @@
 	// clockMargin allows for clocks that run at different rates.
 	clockMargin = 500 * time.Millisecond
 	// maxFailedPlacements bounds the number of dissimilar tasks that one pass over
-	// the queue fails to place before it stops trying.
+	// the queue fails to place from its head, and again from where the last pass
+	// ended.
 	maxFailedPlacements = 100
 	// maxCommitRows bounds the task rows of one transaction.
 	maxCommitRows = 500
 )
 
-// trackedTask is a task with the owner's state that is not part of its row.
-type trackedTask struct {
-	Task
-	// version is the version of the row; zero means that it is not written yet.
-	version uint64
-	// committed is the state in the row, and committedStart the start it was
-	// written for.
-	committed      State
-	committedStart int
-	// inFlight is set while the row is being written.
-	inFlight  bool
-	fromInbox bool
-	// throttled is set while the worker must throttle the task.
-	throttled bool
-	// reportedThrottled is whether the worker last reported the task as throttled.
-	reportedThrottled bool
-	// countedInQuota is set while the task counts against the quota of its team.
-	countedInQuota bool
-	// lastFailedWorker is the worker on which the task failed last.
-	lastFailedWorker string
-	// confirmed is set once the worker has reported this start.
-	confirmed bool
-}
-
 // Cell makes the scheduling decisions for the workers and tasks of one cell, on
 // behalf of its owner. It is not safe for concurrent use.
 type Cell struct {
@@ -57,14 +34,22 @@
 	workers map[string]*worker
 	// addresses are the workers' addresses, sorted.
 	addresses []string
-	tasks     map[string]*trackedTask
+	// removed are the addresses of workers that the cell no longer has, with tasks
+	// that an earlier owner placed there.
+	removed []string
+	tasks   map[string]*trackedTask
 	// changed holds the tasks whose row must be written.
 	changed map[string]*trackedTask
 	queue   []*trackedTask
-	cancels []string
-	audit   []publisher.AuditRow
-	quotas  map[string]publisher.Resources
-	used    map[string]publisher.Resources
+	// resumeAt is the first task that the last pass over the queue did not try.
+	resumeAt *trackedTask
+	// cancels are the cancellations whose rows the next commit deletes, and
+	// cancelsInFlight those of the commit that is being written.
+	cancels         []string
+	cancelsInFlight []string
+	audit           []publisher.AuditRow
+	quotas          map[string]publisher.Resources
+	used            map[string]publisher.Resources
 	// replicas holds the replicas of each latency-critical service.
 	replicas       map[string]*replicaSet
 	serial         int
@@ -83,17 +68,6 @@
 	Counts Counts
 }
 
-// Counts are the event totals of a cell.
-type Counts struct {
-	Starts    int64 `json:"starts"`
-	Done      int64 `json:"done"`
-	Failed    int64 `json:"failed"`
-	Cancelled int64 `json:"cancelled"`
-	Evicted   int64 `json:"evicted"`
-	Lost      int64 `json:"lost"`
-	Throttled int64 `json:"throttled"`
-}
-
 // Candidate is a worker with enough free capacity for a task.
 type Candidate struct {
 	Address       string
@@ -130,20 +104,26 @@
 	}
 	c.stateMachine = newLifeCycle(func() *Task { return &c.current.Task })
 	for _, address := range workers {
-		c.workers[address] = &worker{
-			address: address,
-			tasks:   map[string]*trackedTask{},
-			// An earlier owner may have renewed leases up to this time.
-			leaseEnd: now.Add(leaser.OrphanHorizon + TaskLease),
-		}
+		c.addWorker(address)
 	}
 	return c
 }
 
+// addWorker adds a worker that has not reported yet.
+func (c *Cell) addWorker(address string) {
+	c.workers[address] = &worker{
+		address: address,
+		tasks:   map[string]*trackedTask{},
+		// An earlier owner may have renewed leases up to this time.
+		leaseEnd: c.now.Add(leaser.OrphanHorizon + TaskLease),
+	}
+}
+
 // Load adds a task from its row, as read on takeover.
 func (c *Cell) Load(t Task, version uint64) {
 	e := &trackedTask{
 		Task:           t,
+		seenAt:         c.now,
 		version:        version,
 		committed:      t.State,
 		committedStart: t.Start,
@@ -157,6 +137,11 @@
 	case t.State == StateAccepted:
 		c.enqueue(e)
 	default:
+		if c.workers[t.Worker] == nil {
+			// The worker was removed. It is never called, so its leases end.
+			c.addWorker(t.Worker)
+			c.removed = append(c.removed, t.Worker)
+		}
 		c.bind(e)
 	}
 	c.tasks[t.Spec.ID] = e
@@ -181,6 +166,7 @@
 			State:      StateAccepted,
 			AcceptedAt: acceptedAt,
 		},
+		seenAt:    now,
 		fromInbox: true,
 	}
 	c.tasks[spec.ID] = e
@@ -190,10 +176,23 @@
 	c.enqueue(e)
 }
 
+// CommitWaiting makes the next commits write the waiting tasks of the inbox as rows
+// of tasks, which removes them from the inbox. Otherwise a task is first written
+// when it is placed.
+func (c *Cell) CommitWaiting() {
+	for _, e := range c.queue {
+		if e.fromInbox && !e.inFlight {
+			c.changed[e.Spec.ID] = e
+		}
+	}
+}
+
 // Cancel applies a cancellation from the inbox. The next commit deletes its row.
 func (c *Cell) Cancel(now time.Time, id string) {
 	c.now = now
-	if !slices.Contains(c.cancels, id) {
+	// The inbox may be read again while the deletion is in flight. A second deletion
+	// would be a conflict, which ends the ownership.
+	if !slices.Contains(c.cancels, id) && !slices.Contains(c.cancelsInFlight, id) {
 		c.cancels = append(c.cancels, id)
 	}
 	c.cancel(id)
@@ -226,7 +225,7 @@
 // the replicas of each service complete, and places queued tasks.
 func (c *Cell) Tick(now time.Time) {
 	c.now = now
-	for _, address := range c.addresses {
+	for _, address := range slices.Concat(c.addresses, c.removed) {
 		w := c.workers[address]
 		if !w.reachable && now.After(w.leaseEnd.Add(clockMargin)) {
 			c.loseAllTasks(w, "the worker's lease lapsed")
--- a/pkg/placer/interference_test.go
+++ b/pkg/placer/interference_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
 // cellWithColocatedTasks returns a cell whose one worker runs a replica and two
@@ -137,3 +139,42 @@
 	c.Tick(start.Add(maxInterferenceWait))
 	assert.Equal(t, stateOf(t, c, "last"), StateAccepted)
 }
+
+// Guards against a task that runs throttled until it ends, because the service
+// for which it was throttled has left the worker and reports no slowdown there.
+func TestThrottledTaskIsReleasedWhenServiceLeaves(t *testing.T) {
+	c := testCell(t, 1)
+	c.Accept(start, spec("a", 1000), start)
+	c.Tick(start)
+	commitAll(c, start)
+	report := TaskReport{ID: "cell-1/a", Start: 1, State: RunRunning, Throttled: true}
+	c.HandleReport(start, "worker-000", reportOf(1, report))
+	e := c.tasks["cell-1/a"]
+	e.throttled = true
+	now := start.Add(maxReportLag + time.Second)
+	c.HandleReport(now, "worker-000", reportOf(1, report))
+	commands := c.Sync(now, "worker-000", true).Commands
+	assert.Equal(t, len(commands), 1)
+	assert.Equal(t, commands[0].Kind, CommandUnthrottle)
+}
+
+// Guards against a task that waits for as long as the clock of the entry which
+// accepted it is ahead.
+func TestInterferenceWaitIsByOwnClock(t *testing.T) {
+	c := testCell(t, 1)
+	c.SetReplicas("central-polls", ReplicaNeed{
+		Team:  "condor",
+		Count: 1,
+		Needs: publisher.Resources{
+			ProcessorMillis: 1000,
+		},
+	})
+	c.Tick(start)
+	commitAll(c, start)
+	c.Interference.excess[pair{"central-polls", ""}] = 2
+	c.Accept(start, spec("a", 1000), start.Add(time.Hour))
+	c.Tick(start.Add(time.Second))
+	assert.Equal(t, stateOf(t, c, "a"), StateAccepted)
+	c.Tick(start.Add(maxInterferenceWait + time.Second))
+	assert.Equal(t, stateOf(t, c, "a"), StatePlaced)
+}
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -25,6 +25,7 @@
 	}
 	commit.Cancels = c.cancels
 	commit.Audit = c.audit
+	c.cancelsInFlight = c.cancels
 	c.cancels = nil
 	c.audit = nil
 	return commit, len(commit.Rows) > 0 || len(commit.Cancels) > 0 || len(commit.Audit) > 0
@@ -33,6 +34,7 @@
 // Committed records that the rows of the last commit are in the table.
 func (c *Cell) Committed(now time.Time, commit Commit) {
 	c.now = now
+	c.cancelsInFlight = nil
 	for _, row := range commit.Rows {
 		e := c.tasks[row.Task.Spec.ID]
 		e.inFlight = false
@@ -77,6 +79,10 @@
 		ID:    e.Spec.ID,
 		Start: e.Start,
 	}
+	if e.withdrawn {
+		command.Kind = CommandStop
+		return command, true
+	}
 	switch e.State {
 	case StateCancelling:
 		command.Kind = CommandStop
@@ -89,6 +95,7 @@
 		if !committed || e.confirmed || !mayStart {
 			return command, false
 		}
+		e.sent = true
 		command.Kind = CommandStart
 		command.Needs = e.Spec.Needs
 		command.Checkpoint = e.Checkpoint
@@ -181,37 +188,3 @@
 func (c *Cell) Epoch() uint64 {
 	return c.epoch
 }
-
-// InstanceView is the state of a worker as shown to operators.
-type InstanceView struct {
-	Address       string `json:"address"`
-	FailureDomain string `json:"failure-domain"`
-	Rack          string `json:"rack"`
-	Reachable     bool   `json:"reachable"`
-	Quarantined   bool   `json:"set-aside"`
-	Tasks         int    `json:"tasks"`
-	AllocatedCPU  int64  `json:"committed-processor-millis"`
-	CapacityCPU   int64  `json:"capacity-processor-millis"`
-}
-
-// Instances returns the state of all workers as shown to operators.
-func (c *Cell) Instances() []InstanceView {
-	var list []InstanceView
-	for _, address := range c.addresses {
-		w := c.workers[address]
-		view := InstanceView{
-			Address:     address,
-			Reachable:   w.reachable,
-			Quarantined: len(w.failedTasks) >= quarantineThreshold,
-		}
-		if w.registered {
-			view.FailureDomain = w.failureDomain
-			view.Rack = w.rack
-			view.Tasks = w.allocations.Tasks()
-			view.AllocatedCPU = w.allocations.Sum().ProcessorMillis
-			view.CapacityCPU = w.allocations.Capacity().ProcessorMillis
-		}
-		list = append(list, view)
-	}
-	return list
-}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -40,7 +40,7 @@
 guard replaced-endpoint-may-have-run pkg/dispatcher/attempt.go 's/^\tq.mayHaveRun = true\n\tswitch//; /^func \(d \*Dispatcher\) handleLostAttempt/,/^\}/s/q.mayHaveRun = true//' $simulation $random
 guard not-run-needs-proof pkg/dispatcher/outcome.go '/^func \(q \*request\) unsuccessful/,/^\}/s/if q.mayHaveRun/if false/' $simulation $random
 guard expired-in-flight-is-unknown pkg/dispatcher/outcome.go 's/d.finish\(q, unknown\(framer.ReasonExpired\)\)/d.finish(q, notRun(framer.ReasonExpired))/' $simulation $random
-guard claim-taken-is-refused pkg/dispatcher/dispatcher.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $simulation $random
+guard claim-taken-is-refused pkg/dispatcher/claim.go '/case ClaimTaken:/,/d.finish/s/d.finish.*/d.enqueue(now, d.services[q.Service], q)/' $simulation $random
 guard release-only-unrun pkg/dispatcher/outcome.go '/^\tcase Answered:/,/^\tcase NotRun:/s/d.Counts.Answered\+\+/d.Counts.Answered++; d.addAction(Action{Release: \&Release{ID: q.ID, Service: q.Service, CallerID: q.CallerID}})/' $simulation $random
 guard slots-limit-the-gate pkg/gatekeeper/free_slots.go 's/free := g.plan.Slots - g.total/free := 99/' $simulation $random
 guard leaving-gate-refuses pkg/gatekeeper/gate.go 's/if g.leaving \{/if false {/' $simulation $random
@@ -48,7 +48,19 @@
 guard stale-attempts-are-ignored pkg/dispatcher/attempt.go 's/q.address != address \|\| q.attempt != attempt/q.address != address/' pkg/dispatcher TestOnlyCompleteAnswersAreDelivered
 cell='TestCellUnderFaults'
 guard cell-row-guards-commits pkg/overseer/commit.go 's/c.drop\(now\)/c.lease.Confirmed(w.firstSent); c.written(now, w)/' $simulation $cell
-guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
+guard takeover-waits-for-the-horizon pkg/placer/cell.go 's/leaseEnd: c.now.Add\(leaser.OrphanHorizon \+ TaskLease\)/leaseEnd: c.now.Add(0 * leaser.OrphanHorizon)/' $simulation $cell
+guard waiting-tasks-leave-the-inbox pkg/overseer/scan.go 's/^\t\tc.cell.CommitWaiting\(\)//' $simulation TestWaitingTasksDoNotHideOthers
+guard each-task-is-tried-in-time pkg/placer/placing.go 's/c.resumeAt = failed.next/c.resumeAt = nil/' pkg/placer TestTaskBehindManyUnlikeTasksIsPlaced
+guard trial-ends-with-its-task pkg/placer/worker.go 's/ \&\& w.tasks\[w.trial.Spec.ID\] == w.trial//' pkg/placer TestTrialEndsWithoutResult
+guard long-trial-succeeds pkg/placer/reconcile.go 's/^\t\t\tw.recordRunning\(c.now, e\)//' pkg/placer TestTrialEndsWithoutResult
+guard throttling-ends-with-the-service pkg/placer/interference.go 's/^\t\tw.unthrottleAll\(c.now\)//' pkg/placer TestThrottledTaskIsReleasedWhenServiceLeaves
+guard interference-wait-by-own-clock pkg/placer/interference.go 's/c.now.Sub\(e.seenAt\)/c.now.Sub(e.AcceptedAt)/' pkg/placer TestInterferenceWaitIsByOwnClock
+guard unknown-need-stops-no-replica pkg/placer/replicas.go 's/if !set.needKnown/if false/' pkg/placer TestReplicasOfUnknownServiceKeepRunning
+guard unlisted-starts-are-withdrawn pkg/placer/reconcile.go 's/e.withdrawn = true/e.withdrawn = false/' pkg/placer TestUnlistedStartIsWithdrawn
+guard cancellation-is-deleted-once pkg/placer/output.go 's/c.cancelsInFlight = c.cancels/c.cancelsInFlight = nil/' $simulation TestCancellationsKeepOwnerOfSlowTable
+guard removed-worker-loses-its-tasks pkg/placer/cell.go 's/slices.Concat\(c.addresses, c.removed\)/c.addresses/' pkg/placer TestTaskOfRemovedWorkerIsPlacedAgain
+guard refused-scan-is-not-spun pkg/overseer/scan.go 's/c.rescanAt = now.Add\(resendInterval\)/c.rescanAt = now/' pkg/overseer TestRefusedScanIsRepeatedAfterPause
+guard ignored-starts-are-found pkg/placer/reconcile.go 's/e.withdrawn = true/e.withdrawn = false/' $simulation TestTasksRunAfterFaults
 guard expiry-waits-for-the-lease pkg/placer/cell.go 's/!w.reachable \&\& now.After\(.*\) \{/!w.reachable {/' $simulation $cell
 guard start-only-once-committed pkg/placer/output.go 's/!committed \|\| e.confirmed/!committed \&\& false || e.confirmed/' $simulation $cell
 guard lost-response-is-not-failure pkg/overseer/commit.go '/^\tdefault:$/,/resendAt = /s/w.waiting = false/c.write = nil/' $simulation $cell
