Test that no job has nothing running while most is idle

cause: the random test of long-running tasks did not check the second half of the promise. ruled out: nothing new. change: TestLongRunningTasksRunAgainAfterFaults also checks, while all runners are sound and under half of the processors is in use, that no job with room for each of its tasks twice has nothing running for 3 s, from 3 s after the faults.

--- a/pkg/scheduler/liveness_test.go
+++ b/pkg/scheduler/liveness_test.go
@@ -275,6 +275,7 @@
 			running[run.ref.Task] = true
 		}
 	}
+	f.checkIdleJobs(running)
 	calm := f.now.Sub(f.faultAt) >= faultAftermath+calmBefore
 	for _, j := range f.cell.jobs {
 		for _, t := range j.tasks() {
@@ -289,14 +290,52 @@
 				delete(f.missingSince, name)
 				continue
 			}
-			if _, ok := f.missingSince[name]; !ok {
-				f.missingSince[name] = f.now
-			}
-			missing := f.now.Sub(f.missingSince[name])
-			f.longest = max(f.longest, missing)
-			assert.Assert(f.t, missing < maxMissing, "%s is missing at %s", name, f.now)
+			f.missing(name)
+		}
+	}
+}
+
+// missing records that a task or job is missing while there is room for it.
+func (f *faultyFleet) missing(name string) {
+	if _, ok := f.missingSince[name]; !ok {
+		f.missingSince[name] = f.now
+	}
+	missing := f.now.Sub(f.missingSince[name])
+	f.longest = max(f.longest, missing)
+	assert.Assert(f.t, missing < maxMissing, "%s is missing at %s", name, f.now)
+}
+
+// checkIdleJobs records for how long jobs have nothing running while all runners
+// are sound and under half of the processors is in use.
+func (f *faultyFleet) checkIdleJobs(running map[string]bool) {
+	calm := f.now.Sub(f.faultAt) >= faultAftermath && f.underHalfInUse()
+	for id, j := range f.cell.jobs {
+		idle := calm && !j.state.Final()
+		for _, t := range j.tasks() {
+			idle = idle && !running[t.name()] && (t.done || f.hasRoomTwice(t))
+		}
+		if !idle {
+			delete(f.missingSince, id)
+			continue
+		}
+		f.missing(id)
+	}
+}
+
+// underHalfInUse reports whether all runners are sound and runs use less than
+// half of their processors.
+func (f *faultyFleet) underHalfInUse() bool {
+	used, capacity := int64(0), int64(0)
+	for _, r := range f.runners {
+		if r.fault != faultNone {
+			return false
+		}
+		capacity += r.report.Runner.ProcessorMillis
+		for _, run := range r.runs {
+			used += run.step.Needs.ProcessorMillis
 		}
 	}
+	return 2*used < capacity
 }
 
 // hasRoomTwice reports whether a sound runner has room for a task twice, by
@@ -330,7 +369,8 @@
 // A long-running task must not be missing for long while a sound runner has room
 // for it, whatever runners did before: failed, hung, refused, were silent or
 // draining. A quarantine of all runners for up to a minute and a task that was
-// placed on a refusing runner again and again did that.
+// placed on a refusing runner again and again did that. Nor may a job have
+// nothing running for long while under half of the processors is in use.
 func TestLongRunningTasksRunAgainAfterFaults(t *testing.T) {
 	const (
 		seeds     = 90
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -85,6 +85,7 @@
 guard refusal-does-not-end-a-wait pkg/scheduler/placing.go 's/w.recordWaiting\(now, mayBeRefused\)/w.recordWaiting(now, mayBeRefused \&\& false)/' pkg/scheduler TestRefusedStart
 guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
 guard late-failures-are-no-evidence pkg/scheduler/report.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
+guard idle-jobs-probe pkg/scheduler/quarantined_choice.go 's/ \|\| w.job.placed == 0//' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/owner.go 's/acquiredAt.Add\(leaseDuration \+ /acquiredAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
