Split the simulation of steps into files by concern

A second random test needs parts of it.

ruled out: a change of behaviour; all declarations were moved verbatim.

--- /dev/null
+++ b/pkg/experimenter/steps_agent_test.go
@@ -0,0 +1,193 @@
+package experimenter
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/emulator"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/supervisor"
+)
+
+// stepsAgent is an agent with its runner and its link to the owner.
+type stepsAgent struct {
+	name   string
+	core   *supervisor.Core
+	runner *emulator.StepRunner
+	// incarnation counts the restarts of the agent's process; responses to an
+	// earlier incarnation are dropped.
+	incarnation       int
+	sequence          int64
+	partitioned       bool
+	runnerUnreachable bool
+	// lossRate is the share of calls to the runner that get no response and are
+	// executed late.
+	lossRate float64
+	owner    *stepsOwner
+	// firstHeartbeatAt is the time of the first heartbeat of the runner's
+	// present incarnation.
+	firstHeartbeatAt time.Time
+}
+
+// replaceRunner replaces an agent's runner by a new incarnation without runs.
+func (sim *stepsSimulation) replaceRunner(a *stepsAgent) {
+	if a.runner != nil {
+		for task, on := range sim.runningOn {
+			if on == a.runner {
+				delete(sim.runningOn, task)
+			}
+		}
+	}
+	r := emulator.NewStepRunner(sim.Now(), "runner-of-"+a.name)
+	r.RunTime = func(framer.RunRef) (time.Duration, framer.FinishReason) {
+		reason := framer.FinishDone
+		if sim.rnd.Float64() < 0.1 {
+			reason = framer.FinishFailed
+		}
+		return time.Duration(200+sim.rnd.IntN(4000)) * time.Millisecond, reason
+	}
+	r.OnStart = func(ref framer.RunRef) { sim.runStarted(r, ref) }
+	r.OnFinish = func(e framer.FinishedRun) { sim.runFinished(r, e) }
+	r.OnAcknowledged = func(e framer.FinishedRun, leaseExpired bool) { sim.runAcknowledged(e, leaseExpired) }
+	a.runner = r
+	a.sequence = 0
+	a.firstHeartbeatAt = sim.Now().Add(time.Hour)
+}
+
+func (sim *stepsSimulation) heartbeat(a *stepsAgent) {
+	if a.runnerUnreachable {
+		return
+	}
+	a.sequence++
+	if known, _ := a.core.Runner(); known.Key != a.runner.Key {
+		a.firstHeartbeatAt = sim.Now()
+	}
+	a.core.Heartbeat(sim.Now(), supervisor.Heartbeat{
+		Info: framer.RunnerInfo{
+			Key:             a.runner.Key,
+			Service:         "s",
+			ProcessorMillis: stepsProcessorMillis,
+			MemoryBytes:     1 << 40,
+		},
+		Sequence: a.sequence,
+	})
+}
+
+// tickAgent advances the runner's tasks and performs the actions of the agent's
+// core.
+func (sim *stepsSimulation) tickAgent(a *stepsAgent) {
+	a.runner.Advance(sim.Now())
+	actions, _ := a.core.Tick(sim.Now())
+	for _, action := range actions {
+		sim.perform(a, action)
+	}
+}
+
+// callRunner executes a call on the runner that is present when the call arrives,
+// and passes the response to the agent's process if it is still the incarnation
+// that made the call.
+func callRunner[T any](sim *stepsSimulation, a *stepsAgent, execute func(r *emulator.StepRunner) T, answer func(T, error)) {
+	incarnation := a.incarnation
+	reply := func(value T, err error) {
+		if a.incarnation == incarnation {
+			answer(value, err)
+		}
+	}
+	delay := time.Duration(1+sim.rnd.IntN(4)) * time.Millisecond
+	if a.runnerUnreachable {
+		var zero T
+		sim.After(400*time.Millisecond, func() { reply(zero, errNoAnswer) })
+		return
+	}
+	if sim.rnd.Float64() < a.lossRate {
+		var zero T
+		sentTo, epoch := a.runner.Key, sim.epoch
+		sim.After(delay+time.Duration(sim.rnd.IntN(8000))*time.Millisecond, func() {
+			if sim.shouldExecuteLate(a, sentTo, incarnation, epoch) {
+				execute(a.runner)
+			}
+		})
+		sim.After(400*time.Millisecond, func() { reply(zero, errNoAnswer) })
+		return
+	}
+	sim.After(delay, func() {
+		value := execute(a.runner)
+		sim.After(time.Millisecond, func() { reply(value, nil) })
+	})
+}
+
+// shouldExecuteLate reports whether a delayed call is executed. The system cannot
+// prevent that a later incarnation of the runner executes the call before the
+// agent has seen that incarnation, or after both the agent's process and the
+// owner that had a record of the call were replaced. The simulation drops the
+// call in these cases, and also up to 1 s after the incarnation's first heartbeat
+// or while the runner is unreachable.
+func (sim *stepsSimulation) shouldExecuteLate(a *stepsAgent, sentTo framer.RunnerKey, incarnation int, epoch uint64) bool {
+	if a.runner.Key == sentTo {
+		return true
+	}
+	return sim.Now().Sub(a.firstHeartbeatAt) > time.Second && !a.runnerUnreachable && (a.incarnation == incarnation || sim.epoch == epoch)
+}
+
+func (sim *stepsSimulation) perform(a *stepsAgent, action supervisor.Action) {
+	switch {
+	case action.Report != nil:
+		sim.deliverReport(a, *action.Report)
+	case action.Renew != nil:
+		call := *action.Renew
+		callRunner(sim, a, func(r *emulator.StepRunner) supervisor.Listing {
+			if r.Key != call.Header.Runner {
+				// Nothing can prevent that a later incarnation applies a delayed
+				// acknowledgement of finished runs to its own. The simulation
+				// drops the call.
+				return supervisor.Listing{
+					Refusal: supervisor.RefusalWrongIncarnation,
+				}
+			}
+			return r.RenewLease(sim.Now(), call.Header, call.AckedSequence)
+		}, func(l supervisor.Listing, err error) {
+			sim.After(call.Wait/10, func() { a.core.LeaseRenewed(sim.Now(), call, l, err) })
+		})
+	case action.Start != nil:
+		call := *action.Start
+		sim.logf("%s run %d: start request sent by %s to %v", call.Start.Task, call.Start.Run, a.name, call.Header.Runner)
+		callRunner(sim, a, func(r *emulator.StepRunner) supervisor.Answer {
+			return r.Start(sim.Now(), call.Header, call.Start)
+		}, func(answer supervisor.Answer, err error) { a.core.StartAnswered(sim.Now(), call, answer, err) })
+	case action.Stop != nil:
+		call := *action.Stop
+		sim.logf("%s run %d: stop request sent by %s to %v", call.Ref.Task, call.Ref.Run, a.name, call.Header.Runner)
+		callRunner(sim, a, func(r *emulator.StepRunner) supervisor.Answer {
+			return r.Stop(sim.Now(), call.Header, call.Ref)
+		}, func(answer supervisor.Answer, err error) { a.core.StopAnswered(sim.Now(), call, answer, err) })
+	}
+}
+
+// deliverReport sends a report to the owner that the agent is connected to.
+func (sim *stepsSimulation) deliverReport(a *stepsAgent, r framer.Report) {
+	o := a.owner
+	if o == nil || a.partitioned {
+		return
+	}
+	incarnation := a.incarnation
+	sim.After(2*time.Millisecond, func() {
+		if a.partitioned || o.stopped || a.incarnation != incarnation || a.owner != o {
+			return
+		}
+		o.cell.HandleReport(sim.Now(), a.name, r)
+	})
+}
+
+// restartAgent replaces an agent's process by a new one without state.
+func (sim *stepsSimulation) restartAgent(a *stepsAgent) {
+	sim.logf("simulation: %s restarts", a.name)
+	a.incarnation++
+	a.core = supervisor.NewCore()
+	sim.disconnect(a)
+}
+
+func (sim *stepsSimulation) disconnect(a *stepsAgent) {
+	if a.owner != nil && !a.owner.stopped {
+		a.owner.cell.AgentDisconnected(a.name)
+	}
+	a.owner = nil
+}
--- /dev/null
+++ b/pkg/experimenter/steps_owner_test.go
@@ -0,0 +1,122 @@
+package experimenter
+
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
+)
+
+// stepsOwner is the process that owns the cell.
+type stepsOwner struct {
+	cell       *scheduler.Cell
+	epoch      uint64
+	committing bool
+	stopped    bool
+	// validUntil is the time until which the owner may act.
+	validUntil time.Time
+}
+
+// replaceOwner creates a new owner after a delay. Until then the former owner is
+// no longer ticked, but still receives reports and completes its commit, as an
+// owner can until its lease expires.
+func (sim *stepsSimulation) replaceOwner(after time.Duration) {
+	former := sim.owner
+	sim.owner = nil
+	sim.After(after, func() {
+		if former != nil {
+			former.stopped = true
+		}
+		sim.epoch++
+		o := &stepsOwner{
+			epoch:      sim.epoch,
+			validUntil: sim.Now().Add(time.Hour),
+		}
+		o.cell = scheduler.NewCell(scheduler.Config{
+			Epoch:           sim.epoch,
+			Assert:          fatalAsserter(sim.t, sim.seed),
+			LogEvent:        func(message string, pairs ...any) { sim.logf("cell: %s %v", message, pairs) },
+			Lease:           stepsLease,
+			FormerLeasesEnd: sim.Now().Add(stepsLease + stepsLease*3/100 + 500*time.Millisecond),
+		})
+		o.cell.SetQueues(sim.queues)
+		for id, spec := range sim.specs {
+			if p, ok := sim.progress[id]; ok {
+				o.cell.Load(sim.Now(), spec, p)
+			} else {
+				o.cell.Add(sim.Now(), spec)
+			}
+			if _, ok := sim.cancelled[id]; ok {
+				o.cell.Cancel(sim.Now(), id)
+			}
+		}
+		sim.logf("simulation: owner of epoch %d starts", sim.epoch)
+		sim.owner = o
+	})
+}
+
+// tickOwner connects agents, ticks the cell, sends changed syncs to agents and
+// commits.
+func (sim *stepsSimulation) tickOwner(o *stepsOwner) {
+	valid := sim.Now().Before(o.validUntil)
+	for _, a := range sim.agents {
+		if a.owner != o && !a.partitioned {
+			sim.disconnect(a)
+			a.owner = o
+			sim.send(a, o, valid)
+		}
+	}
+	o.cell.Tick(sim.Now(), valid)
+	for _, name := range o.cell.Dirty() {
+		for _, a := range sim.agents {
+			if a.name == name && a.owner == o {
+				sim.send(a, o, valid)
+			}
+		}
+	}
+	sim.commit(o)
+}
+
+func (sim *stepsSimulation) send(a *stepsAgent, o *stepsOwner, valid bool) {
+	s := o.cell.Sync(sim.Now(), a.name, valid)
+	incarnation := a.incarnation
+	delay := time.Duration(1+sim.rnd.IntN(5)) * time.Millisecond
+	sim.After(delay, func() {
+		if !a.partitioned && a.incarnation == incarnation && a.owner == o {
+			a.core.SyncReceived(sim.Now(), s)
+		}
+	})
+}
+
+// commit writes the changed progress rows to the store, unless a newer owner has
+// taken over. It retries every 100 ms while the store is down.
+func (sim *stepsSimulation) commit(o *stepsOwner) {
+	if o.committing {
+		return
+	}
+	commit, ok := o.cell.Commit()
+	if !ok {
+		return
+	}
+	o.committing = true
+	var write func()
+	write = func() {
+		if o.stopped || o.epoch != sim.epoch {
+			return
+		}
+		if sim.storeDown {
+			sim.After(100*time.Millisecond, write)
+			return
+		}
+		for _, row := range commit.Rows {
+			sim.progress[row.ID] = row.Progress
+		}
+		sim.After(8*time.Millisecond, func() {
+			if o.stopped {
+				return
+			}
+			o.committing = false
+			o.cell.Committed(commit)
+		})
+	}
+	sim.After(8*time.Millisecond, write)
+}
