Let the simulation of steps vary its lease, runners and run times

cause: the lease, the runners' sizes and the run times are constants, and a new owner loads jobs in the order of a map, so that a seed does not replay exactly.

ruled out: copies of the simulation for a second test.

change: the lease is a parameter, and the bound of former leases stands in one place; agents can be added, and their runners differ; run times come from a function; a runner can be lost, fail its runs, refuse starts or hang, which no test uses yet. The checks read a task's own step. Jobs are loaded in sorted order.

--- a/pkg/emulator/step_runner.go
+++ b/pkg/emulator/step_runner.go
@@ -13,9 +13,10 @@
 
 // stepRun is a run in progress on a stand-in runner.
 type stepRun struct {
-	ref    framer.RunRef
-	endAt  time.Time
-	reason framer.FinishReason
+	ref       framer.RunRef
+	startedAt time.Time
+	endAt     time.Time
+	reason    framer.FinishReason
 	// stopAt is the time at which a requested stop takes effect; zero if no
 	// stop was requested.
 	stopAt time.Time
@@ -42,8 +43,13 @@
 	MaxLease time.Duration
 	// StopDuration is the duration of a stop.
 	StopDuration time.Duration
+	// ReportProgress makes the runner list how much of its run time each run has
+	// completed; otherwise all runs are listed as complete.
+	ReportProgress bool
 
 	startedAt time.Time
+	// hungSince is since when the runs make no progress; zero if they do.
+	hungSince time.Time
 	epoch     uint64
 	leaseEnd  int64
 	runs      map[string]*stepRun
@@ -91,7 +97,7 @@
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
 		run := r.runs[task]
 		switch {
-		case !run.endAt.After(now) && (run.stopAt.IsZero() || run.endAt.Before(run.stopAt)):
+		case r.hungSince.IsZero() && !run.endAt.After(now) && (run.stopAt.IsZero() || run.endAt.Before(run.stopAt)):
 			r.finish(run, run.reason)
 		case !run.stopAt.IsZero() && !run.stopAt.After(now):
 			r.finish(run, framer.FinishStopped)
@@ -132,6 +138,39 @@
 	return ""
 }
 
+// Hang makes all runs stop making progress until Resume is called.
+func (r *StepRunner) Hang(now time.Time) {
+	r.hungSince = now
+}
+
+// Resume lets the runs of a hung runner continue.
+func (r *StepRunner) Resume(now time.Time) {
+	for _, run := range r.runs {
+		hung := now.Sub(maxTime(r.hungSince, run.startedAt))
+		run.startedAt = run.startedAt.Add(hung)
+		run.endAt = run.endAt.Add(hung)
+	}
+	r.hungSince = time.Time{}
+}
+
+// percent returns the share of its run time that a run has completed.
+func (r *StepRunner) percent(now time.Time, run *stepRun) int {
+	if !r.ReportProgress {
+		return 100
+	}
+	if !r.hungSince.IsZero() {
+		now = maxTime(r.hungSince, run.startedAt)
+	}
+	return int(min(100, 100*now.Sub(run.startedAt)/max(1, run.endAt.Sub(run.startedAt))))
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Start renews the lease and starts a run. Starting a run that is already in
 // progress is accepted and has no effect.
 func (r *StepRunner) Start(now time.Time, h supervisor.CallHeader, start framer.RunStart) supervisor.Answer {
@@ -158,9 +197,10 @@
 	d, reason := r.RunTime(ref)
 	r.highestRun[ref.Task] = ref.Run
 	r.runs[ref.Task] = &stepRun{
-		ref:    ref,
-		endAt:  now.Add(d),
-		reason: reason,
+		ref:       ref,
+		startedAt: now,
+		endAt:     now.Add(d),
+		reason:    reason,
 	}
 	r.OnStart(ref)
 	return ""
@@ -202,7 +242,7 @@
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
 		l.Running = append(l.Running, framer.RunStatus{
 			RunRef:  r.runs[task].ref,
-			Percent: 100,
+			Percent: r.percent(now, r.runs[task]),
 		})
 	}
 	return l
--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/emulator"
@@ -13,6 +14,8 @@
 	name   string
 	core   *supervisor.Core
 	runner *emulator.StepRunner
+	// info describes the runner, except for its key.
+	info framer.RunnerInfo
 	// incarnation counts the restarts of the agent's process; responses to an
 	// earlier incarnation are dropped.
 	incarnation       int
@@ -23,29 +26,45 @@
 	// executed late.
 	lossRate float64
 	owner    *stepsOwner
+	// lost is set once the runner is lost for good, and gone once its agent is
+	// lost too.
+	lost bool
+	gone bool
+	// failing and refusing are set while all runs fail at once and while all
+	// starts are refused.
+	failing  bool
+	refusing bool
 	// firstHeartbeatAt is the time of the first heartbeat of the runner's
 	// present incarnation.
 	firstHeartbeatAt time.Time
 }
 
+// addAgent adds an agent beside a new runner.
+func (sim *stepsSimulation) addAgent(info framer.RunnerInfo) {
+	a := &stepsAgent{
+		name: fmt.Sprintf("agent-%d", len(sim.agents)),
+		core: supervisor.NewCore(),
+		info: info,
+	}
+	sim.agents = append(sim.agents, a)
+	sim.replaceRunner(a)
+	sim.Every(time.Second, func() bool {
+		sim.heartbeat(a)
+		return true
+	})
+	sim.Every(10*time.Millisecond, func() bool {
+		sim.tickAgent(a)
+		return true
+	})
+}
+
 // replaceRunner replaces an agent's runner by a new incarnation without runs.
 func (sim *stepsSimulation) replaceRunner(a *stepsAgent) {
-	if a.runner != nil {
-		for task, on := range sim.runningOn {
-			if on == a.runner {
-				delete(sim.runningOn, task)
-			}
-		}
-	}
+	sim.dropRuns(a)
 	r := emulator.NewStepRunner(sim.Now(), "runner-of-"+a.name)
-	r.RunTime = func(framer.RunRef) (time.Duration, framer.FinishReason) {
-		reason := framer.FinishDone
-		if sim.rnd.Float64() < 0.1 {
-			reason = framer.FinishFailed
-		}
-		return time.Duration(200+sim.rnd.IntN(4000)) * time.Millisecond, reason
-	}
-	r.OnStart = func(ref framer.RunRef) { sim.runStarted(r, ref) }
+	r.MaxLease = sim.lease
+	r.RunTime = func(ref framer.RunRef) (time.Duration, framer.FinishReason) { return sim.runTime(a, ref) }
+	r.OnStart = func(ref framer.RunRef) { sim.runStarted(a, r, ref) }
 	r.OnFinish = func(e framer.FinishedRun) { sim.runFinished(r, e) }
 	r.OnAcknowledged = func(e framer.FinishedRun, leaseExpired bool) { sim.runAcknowledged(e, leaseExpired) }
 	a.runner = r
@@ -53,6 +72,25 @@
 	a.firstHeartbeatAt = sim.Now().Add(time.Hour)
 }
 
+// dropRuns records that the runs on an agent's runner are gone.
+func (sim *stepsSimulation) dropRuns(a *stepsAgent) {
+	for task, on := range sim.runningOn {
+		if on == a.runner {
+			delete(sim.runningOn, task)
+			sim.endedAt[task] = sim.Now()
+		}
+	}
+}
+
+// randomRunTime returns a run time of a few seconds. One run in ten fails.
+func (sim *stepsSimulation) randomRunTime(*stepsAgent, framer.RunRef) (time.Duration, framer.FinishReason) {
+	reason := framer.FinishDone
+	if sim.rnd.Float64() < 0.1 {
+		reason = framer.FinishFailed
+	}
+	return time.Duration(200+sim.rnd.IntN(4000)) * time.Millisecond, reason
+}
+
 func (sim *stepsSimulation) heartbeat(a *stepsAgent) {
 	if a.runnerUnreachable {
 		return
@@ -61,13 +99,10 @@
 	if known, _ := a.core.Runner(); known.Key != a.runner.Key {
 		a.firstHeartbeatAt = sim.Now()
 	}
+	info := a.info
+	info.Key = a.runner.Key
 	a.core.Heartbeat(sim.Now(), supervisor.Heartbeat{
-		Info: framer.RunnerInfo{
-			Key:             a.runner.Key,
-			Service:         "s",
-			ProcessorMillis: stepsProcessorMillis,
-			MemoryBytes:     1 << 40,
-		},
+		Info:     info,
 		Sequence: a.sequence,
 	})
 }
@@ -75,7 +110,12 @@
 // tickAgent advances the runner's tasks and performs the actions of the agent's
 // core.
 func (sim *stepsSimulation) tickAgent(a *stepsAgent) {
-	a.runner.Advance(sim.Now())
+	if a.gone {
+		return
+	}
+	if !a.lost {
+		a.runner.Advance(sim.Now())
+	}
 	actions, _ := a.core.Tick(sim.Now())
 	for _, action := range actions {
 		sim.perform(a, action)
@@ -110,6 +150,11 @@
 		return
 	}
 	sim.After(delay, func() {
+		if a.lost {
+			var zero T
+			reply(zero, errNoAnswer)
+			return
+		}
 		value := execute(a.runner)
 		sim.After(time.Millisecond, func() { reply(value, nil) })
 	})
@@ -122,6 +167,9 @@
 // call in these cases, and also up to 1 s after the incarnation's first heartbeat
 // or while the runner is unreachable.
 func (sim *stepsSimulation) shouldExecuteLate(a *stepsAgent, sentTo framer.RunnerKey, incarnation int, epoch uint64) bool {
+	if a.lost {
+		return false
+	}
 	if a.runner.Key == sentTo {
 		return true
 	}
@@ -151,6 +199,11 @@
 		call := *action.Start
 		sim.logf("%s run %d: start request sent by %s to %v", call.Start.Task, call.Start.Run, a.name, call.Header.Runner)
 		callRunner(sim, a, func(r *emulator.StepRunner) supervisor.Answer {
+			if a.refusing {
+				return supervisor.Answer{
+					Refusal: supervisor.RefusalUnhealthy,
+				}
+			}
 			return r.Start(sim.Now(), call.Header, call.Start)
 		}, func(answer supervisor.Answer, err error) { a.core.StartAnswered(sim.Now(), call, answer, err) })
 	case action.Stop != nil:
--- a/pkg/experimenter/steps_checks_test.go
+++ b/pkg/experimenter/steps_checks_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/emulator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
 )
 
 func (sim *stepsSimulation) logf(format string, args ...any) {
@@ -24,7 +27,34 @@
 	sim.t.Fatalf("seed %d at %s: "+format, append([]any{sim.seed, sim.Now().Format("15:04:05.000")}, args...)...)
 }
 
-func (sim *stepsSimulation) runStarted(r *emulator.StepRunner, ref framer.RunRef) {
+// step returns the step of a task.
+func (sim *stepsSimulation) step(task string) *scheduler.Step {
+	id, _, _ := strings.Cut(task, ".")
+	parts := strings.Split(task, ".")
+	number, err := strconv.Atoi(parts[len(parts)-2])
+	if err != nil || number >= len(sim.specs[id].Steps) {
+		sim.fatalf(task, "%s was never submitted", task)
+	}
+	return &sim.specs[id].Steps[number]
+}
+
+// allocation returns what a task of a step takes from its runner's capacity.
+func allocation(step *scheduler.Step) publisher.Resources {
+	needs := step.Needs
+	if step.BestEffort {
+		needs.ProcessorMillis = 0
+	}
+	return needs
+}
+
+func capacity(a *stepsAgent) publisher.Resources {
+	return publisher.Resources{
+		ProcessorMillis: a.info.ProcessorMillis,
+		MemoryBytes:     a.info.MemoryBytes,
+	}
+}
+
+func (sim *stepsSimulation) runStarted(a *stepsAgent, r *emulator.StepRunner, ref framer.RunRef) {
 	sim.logf("%s run %d starts on %v", ref.Task, ref.Run, r.Key)
 	if other := sim.runningOn[ref.Task]; other != nil {
 		sim.fatalf(ref.Task, "%s runs on %v and on %v", ref.Task, other.Key, r.Key)
@@ -32,27 +62,23 @@
 	if sim.acknowledgedDone[ref.Task] {
 		sim.fatalf(ref.Task, "%s starts after its completion was acknowledged", ref.Task)
 	}
-	if sim.failures[ref.Task] >= stepsMaxFailures {
+	step := sim.step(ref.Task)
+	if !step.LongRunning && sim.failures[ref.Task] >= stepsMaxFailures {
 		sim.fatalf(ref.Task, "%s starts after %d failures", ref.Task, sim.failures[ref.Task])
 	}
-	id, _, _ := strings.Cut(ref.Task, ".")
-	spec, ok := sim.specs[id]
-	if !ok {
-		sim.fatalf(ref.Task, "%s was never submitted", ref.Task)
-	}
 	sim.runningOn[ref.Task] = r
-	sim.allocatedMillis[r] += spec.Steps[0].Needs.ProcessorMillis
-	if sim.allocatedMillis[r] > stepsProcessorMillis {
-		sim.fatalf(ref.Task, "%v has %d of %d processor millis allocated", r.Key, sim.allocatedMillis[r], stepsProcessorMillis)
+	sim.allocated[r] = publisher.Add(sim.allocated[r], allocation(step))
+	if !publisher.Within(sim.allocated[r], capacity(a)) {
+		sim.fatalf(ref.Task, "%v has %v of %v allocated", r.Key, sim.allocated[r], capacity(a))
 	}
 }
 
 func (sim *stepsSimulation) runFinished(r *emulator.StepRunner, e framer.FinishedRun) {
 	sim.logf("%s run %d finished on %v: %s", e.Task, e.Run, r.Key, e.Reason)
-	id, _, _ := strings.Cut(e.Task, ".")
-	sim.allocatedMillis[r] -= sim.specs[id].Steps[0].Needs.ProcessorMillis
+	sim.allocated[r] = publisher.Subtract(sim.allocated[r], allocation(sim.step(e.Task)))
 	if sim.runningOn[e.Task] == r {
 		delete(sim.runningOn, e.Task)
+		sim.endedAt[e.Task] = sim.Now()
 	}
 }
 
@@ -67,7 +93,7 @@
 	if e.Reason == framer.FinishFailed {
 		sim.failures[e.Task]++
 	}
-	if e.Reason == framer.FinishDone {
+	if e.Reason == framer.FinishDone && !sim.step(e.Task).LongRunning {
 		sim.acknowledgedDone[e.Task] = true
 	}
 }
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -1,6 +1,8 @@
 package experimenter
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
@@ -35,11 +37,12 @@
 			Epoch:           sim.epoch,
 			Assert:          fatalAsserter(sim.t, sim.seed),
 			LogEvent:        func(message string, pairs ...any) { sim.logf("cell: %s %v", message, pairs) },
-			Lease:           stepsLease,
-			FormerLeasesEnd: sim.Now().Add(stepsLease + stepsLease*3/100 + 500*time.Millisecond),
+			Lease:           sim.lease,
+			FormerLeasesEnd: sim.formerLeasesEnd(),
 		})
 		o.cell.SetQueues(sim.queues)
-		for id, spec := range sim.specs {
+		for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
+			spec := sim.specs[id]
 			if p, ok := sim.progress[id]; ok {
 				o.cell.Load(sim.Now(), spec, p)
 			} else {
@@ -54,6 +57,12 @@
 	})
 }
 
+// formerLeasesEnd returns when the last lease expires that an owner which is
+// replaced now can have granted.
+func (sim *stepsSimulation) formerLeasesEnd() time.Time {
+	return sim.Now().Add(sim.lease + sim.lease*3/100 + 500*time.Millisecond)
+}
+
 // tickOwner connects agents, ticks the cell, sends changed syncs to agents and
 // commits.
 func (sim *stepsSimulation) tickOwner(o *stepsOwner) {
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -9,13 +9,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/emulator"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
-	"github.com/bilberrywalk/bilberrywalk/pkg/supervisor"
 )
 
 const (
+	// stepsLease is the lease of a platform that permits 6 s, and
+	// stepsLongestLease the one of a platform that permits 10 s.
 	stepsLease           = 6 * time.Second
+	stepsLongestLease    = 10 * time.Second
 	stepsMaxFailures     = 3
 	stepsProcessorMillis = 8000
 )
@@ -26,10 +29,11 @@
 // against fake runners in virtual time, and checks the guarantees at each event.
 type stepsSimulation struct {
 	*Clock
-	t    *testing.T
-	seed uint64
-	rnd  *rand.Rand
-	log  []string
+	t     *testing.T
+	seed  uint64
+	rnd   *rand.Rand
+	lease time.Duration
+	log   []string
 
 	// The store's state: specs, cancellations and progress by job, and the
 	// owner's epoch.
@@ -45,27 +49,35 @@
 
 	// State of the checks, by task: the runner that runs it, its acknowledged
 	// failures, and whether a finished run with reason "done" was acknowledged.
-	// allocatedMillis is the processor time in use on each runner.
+	// allocated are the resources in use on each runner, and endedAt is when the
+	// last run of each task ended.
 	runningOn        map[string]*emulator.StepRunner
 	failures         map[string]int
 	acknowledgedDone map[string]bool
-	allocatedMillis  map[*emulator.StepRunner]int64
+	allocated        map[*emulator.StepRunner]publisher.Resources
+	endedAt          map[string]time.Time
+	// runTime returns the duration of a run on an agent's runner and the reason
+	// with which it finishes.
+	runTime func(a *stepsAgent, ref framer.RunRef) (time.Duration, framer.FinishReason)
 }
 
-func newStepsSimulation(t *testing.T, seed uint64, agents int) *stepsSimulation {
+func newStepsSimulation(t *testing.T, seed uint64, lease time.Duration, agents int) *stepsSimulation {
 	sim := &stepsSimulation{
 		Clock:            NewClock(),
 		t:                t,
 		seed:             seed,
 		rnd:              rand.New(rand.NewPCG(seed, 77)),
+		lease:            lease,
 		specs:            map[string]scheduler.Spec{},
 		cancelled:        map[string]time.Time{},
 		progress:         map[string]scheduler.Progress{},
 		runningOn:        map[string]*emulator.StepRunner{},
 		failures:         map[string]int{},
 		acknowledgedDone: map[string]bool{},
-		allocatedMillis:  map[*emulator.StepRunner]int64{},
+		allocated:        map[*emulator.StepRunner]publisher.Resources{},
+		endedAt:          map[string]time.Time{},
 	}
+	sim.runTime = sim.randomRunTime
 	sim.queues = &scheduler.Queues{
 		Version: 1,
 		List: []scheduler.Queue{{
@@ -76,20 +88,11 @@
 			TargetLatency: time.Second,
 		}},
 	}
-	for i := range agents {
-		a := &stepsAgent{
-			name: fmt.Sprintf("agent-%d", i),
-			core: supervisor.NewCore(),
-		}
-		sim.agents = append(sim.agents, a)
-		sim.replaceRunner(a)
-		sim.Every(time.Second, func() bool {
-			sim.heartbeat(a)
-			return true
-		})
-		sim.Every(10*time.Millisecond, func() bool {
-			sim.tickAgent(a)
-			return true
+	for range agents {
+		sim.addAgent(framer.RunnerInfo{
+			Service:         "s",
+			ProcessorMillis: stepsProcessorMillis,
+			MemoryBytes:     1 << 40,
 		})
 	}
 	sim.Every(20*time.Millisecond, func() bool {
--- a/pkg/experimenter/steps_under_faults_test.go
+++ b/pkg/experimenter/steps_under_faults_test.go
@@ -32,7 +32,7 @@
 func TestStepsUnderFaults(t *testing.T) {
 	for _, seed := range append(seeds(8), regressionSeeds()...) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			sim := newStepsSimulation(t, seed, 5)
+			sim := newStepsSimulation(t, seed, stepsLease, 5)
 			faultsUntil := sim.Now().Add(90 * time.Second)
 			n := 0
 			sim.Every(300*time.Millisecond, func() bool {
