--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -30,17 +30,18 @@
 	// lost too.
 	lost bool
 	gone bool
-	// failing and refusing are set while all runs fail at once and while all
-	// starts are refused.
+	// failing, refusing and hung are set while all runs fail at once, while all
+	// starts are refused, and while no run makes progress.
 	failing  bool
 	refusing bool
+	hung     bool
 	// firstHeartbeatAt is the time of the first heartbeat of the runner's
 	// present incarnation.
 	firstHeartbeatAt time.Time
 }
 
 // addAgent adds an agent beside a new runner.
-func (sim *stepsSimulation) addAgent(info framer.RunnerInfo) {
+func (sim *stepsSimulation) addAgent(info framer.RunnerInfo) *stepsAgent {
 	a := &stepsAgent{
 		name: fmt.Sprintf("agent-%d", len(sim.agents)),
 		core: supervisor.NewCore(),
@@ -56,6 +57,7 @@
 		sim.tickAgent(a)
 		return true
 	})
+	return a
 }
 
 // replaceRunner replaces an agent's runner by a new incarnation without runs.
@@ -63,6 +65,7 @@
 	sim.dropRuns(a)
 	r := emulator.NewStepRunner(sim.Now(), "runner-of-"+a.name)
 	r.MaxLease = sim.lease
+	r.ReportProgress = sim.reportProgress
 	r.RunTime = func(ref framer.RunRef) (time.Duration, framer.FinishReason) { return sim.runTime(a, ref) }
 	r.OnStart = func(ref framer.RunRef) { sim.runStarted(a, r, ref) }
 	r.OnFinish = func(e framer.FinishedRun) { sim.runFinished(r, e) }
--- a/pkg/experimenter/steps_checks_test.go
+++ b/pkg/experimenter/steps_checks_test.go
@@ -20,7 +20,7 @@
 	sim.t.Helper()
 	id, _, _ := strings.Cut(task, ".")
 	for _, line := range sim.log {
-		if strings.Contains(line, task) || !strings.Contains(line, ".") || strings.Contains(line, id+" ") || strings.Contains(line, "simulation") {
+		if strings.Contains(line, task) || !strings.Contains(line, ".") || strings.Contains(line, id+" ") || strings.Contains(line, "simulation") || strings.Contains(line, "cell: runner") {
 			sim.t.Log(line)
 		}
 	}
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -60,7 +60,7 @@
 // formerLeasesEnd returns when the last lease expires that an owner which is
 // replaced now can have granted.
 func (sim *stepsSimulation) formerLeasesEnd() time.Time {
-	return sim.Now().Add(sim.lease + sim.lease*3/100 + 500*time.Millisecond)
+	return sim.Now().Add(sim.ownerLease + sim.lease + sim.lease*3/100 + 500*time.Millisecond)
 }
 
 // tickOwner connects agents, ticks the cell, sends changed syncs to agents and
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -33,7 +33,11 @@
 	seed  uint64
 	rnd   *rand.Rand
 	lease time.Duration
-	log   []string
+	// ownerLease is how long an owner that was replaced may still grant leases.
+	ownerLease time.Duration
+	// reportProgress makes the runners list the progress of their runs.
+	reportProgress bool
+	log            []string
 
 	// The store's state: specs, cancellations and progress by job, and the
 	// owner's epoch.
