Let the simulation of steps grant shorter leases than its runners accept

cause: in the simulation, the lease that owners grant is the longest one that runners accept. A shorter one is a different case: a call with the clock of an earlier incarnation can extend the lease of a later one by the longest.

ruled out: one parameter for both.

change: grantedLease is the only place that chooses the granted lease; it still returns the longest.

--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -64,7 +64,7 @@
 func (sim *stepsSimulation) replaceRunner(a *stepsAgent) {
 	sim.dropRuns(a)
 	r := emulator.NewStepRunner(sim.Now(), "runner-of-"+a.name)
-	r.MaxLease = sim.lease
+	r.MaxLease = sim.longestLease
 	r.ReportProgress = sim.reportProgress
 	r.RunTime = func(ref framer.RunRef) (time.Duration, framer.FinishReason) { return sim.runTime(a, ref) }
 	r.OnStart = func(ref framer.RunRef) { sim.runStarted(a, r, ref) }
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -57,6 +57,12 @@
 	})
 }
 
+// grantedLease returns the lease that owners grant on a platform whose runners
+// accept leases up to longest.
+func grantedLease(longest time.Duration) time.Duration {
+	return longest
+}
+
 // formerLeasesEnd returns when the last lease expires that an owner which is
 // replaced now can have granted.
 func (sim *stepsSimulation) formerLeasesEnd() time.Time {
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -29,10 +29,13 @@
 // against fake runners in virtual time, and checks the guarantees at each event.
 type stepsSimulation struct {
 	*Clock
-	t     *testing.T
-	seed  uint64
-	rnd   *rand.Rand
-	lease time.Duration
+	t    *testing.T
+	seed uint64
+	rnd  *rand.Rand
+	// lease is the lease that owners grant, and longestLease the longest one
+	// that runners accept.
+	lease        time.Duration
+	longestLease time.Duration
 	// ownerLease is how long an owner that was replaced may still grant leases.
 	ownerLease time.Duration
 	// reportProgress makes the runners list the progress of their runs.
@@ -65,13 +68,14 @@
 	runTime func(a *stepsAgent, ref framer.RunRef) (time.Duration, framer.FinishReason)
 }
 
-func newStepsSimulation(t *testing.T, seed uint64, lease time.Duration, agents int) *stepsSimulation {
+func newStepsSimulation(t *testing.T, seed uint64, longestLease time.Duration, agents int) *stepsSimulation {
 	sim := &stepsSimulation{
 		Clock:            NewClock(),
 		t:                t,
 		seed:             seed,
 		rnd:              rand.New(rand.NewPCG(seed, 77)),
-		lease:            lease,
+		lease:            grantedLease(longestLease),
+		longestLease:     longestLease,
 		specs:            map[string]scheduler.Spec{},
 		cancelled:        map[string]time.Time{},
 		progress:         map[string]scheduler.Progress{},
--- a/pkg/experimenter/steps_waiting_test.go
+++ b/pkg/experimenter/steps_waiting_test.go
@@ -25,9 +25,9 @@
 	ownerLease = 1700 * time.Millisecond
 )
 
-func newWaitingSimulation(t *testing.T, seed uint64, lease time.Duration) *waitingSimulation {
+func newWaitingSimulation(t *testing.T, seed uint64, longestLease time.Duration) *waitingSimulation {
 	sim := &waitingSimulation{
-		stepsSimulation: newStepsSimulation(t, seed, lease, 0),
+		stepsSimulation: newStepsSimulation(t, seed, longestLease, 0),
 		waitingSince:    map[string]time.Time{},
 		doneOn:          map[string]*emulator.StepRunner{},
 	}
