--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -106,7 +106,7 @@
 	return scheduler.Config{
 		Epoch:           o.lease.Epoch(),
 		Assert:          e.assert,
-		Lease:           runnerLease(e.cfg),
+		Lease:           RunnerLease(e.cfg),
 		LongestLease:    time.Duration(e.cfg.LongestLease),
 		FormerLeasesEnd: o.leasesEnd,
 		LogEvent: func(message string, pairs ...any) {
--- a/pkg/controller/runner_leases.go
+++ b/pkg/controller/runner_leases.go
@@ -13,10 +13,10 @@
 // commit take time.
 const restartOverhead = leaseDuration + 800*time.Millisecond
 
-// runnerLease returns the duration of the leases that an owner grants to
+// RunnerLease returns the duration of the leases that an owner grants to
 // runners. Runs survive an outage that is shorter, so they last as long as the
 // platform permits and Fleet.RestartWithin allows.
-func runnerLease(cfg configurer.Fleet) time.Duration {
+func RunnerLease(cfg configurer.Fleet) time.Duration {
 	return min(time.Duration(cfg.LongestLease), scheduler.LeaseWithin(time.Duration(cfg.RestartWithin)-restartOverhead))
 }
 
@@ -48,7 +48,7 @@
 // be in force: this owner's, a former one's until the last of those expired, or
 // one that a delayed call granted.
 func (e *Entry) longestGranted(now time.Time) time.Duration {
-	lease := runnerLease(e.cfg)
+	lease := RunnerLease(e.cfg)
 	if !now.After(e.owner.leasesEnd) {
 		lease = max(lease, e.owner.former.lease(time.Duration(e.cfg.LongestLease)))
 	}
--- a/pkg/controller/runner_leases_test.go
+++ b/pkg/controller/runner_leases_test.go
@@ -66,19 +66,19 @@
 	})
 	t.Run("its own afterwards", func(t *testing.T) {
 		e := entryAfter(seenAt, leaseRow{})
-		assert.Equal(t, e.longestGranted(e.owner.leasesEnd.Add(1)), runnerLease(e.cfg))
+		assert.Equal(t, e.longestGranted(e.owner.leasesEnd.Add(1)), RunnerLease(e.cfg))
 	})
 	t.Run("its own if that is longer", func(t *testing.T) {
 		e := entryAfter(seenAt, leaseRow{
 			RunnerLeaseMillis: 1000,
 		})
-		assert.Equal(t, e.longestGranted(seenAt), runnerLease(e.cfg))
+		assert.Equal(t, e.longestGranted(seenAt), RunnerLease(e.cfg))
 	})
 }
 
 func TestRunnerLeaseIsLimited(t *testing.T) {
 	lease := func(longest, restartWithin time.Duration) time.Duration {
-		return runnerLease(configurer.Fleet{
+		return RunnerLease(configurer.Fleet{
 			LongestLease:  publisher.Duration(longest),
 			RestartWithin: publisher.Duration(restartWithin),
 		})
--- a/pkg/scheduler/liveness_test.go
+++ b/pkg/scheduler/liveness_test.go
@@ -18,7 +18,7 @@
 // for maxNotRunning, which begins restartGrace after its last run and after
 // calmBefore without a fault, and there is calm faultAftermath after a fault.
 const (
-	maxNotRunning     = 3 * time.Second
+	maxNotRunning  = 3 * time.Second
 	restartGrace   = 6 * time.Second
 	calmBefore     = 4 * time.Second
 	faultAftermath = 3 * time.Second
