Stop starts that a restarted agent's predecessor may have sent

The runner restarted under its id, and the first call arrived there: the task ran after its end was acknowledged.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -68,6 +68,11 @@
 				startSentAt:    now,
 				mayHaveStarted: start.Repeated,
 			}
+			if start.Repeated {
+				// An earlier process of the agent may have sent it, and the call
+				// may still arrive.
+				c.unconfirmedStarts[start.RunRef] = now
+			}
 			if contains(c.running, start.RunRef) {
 				cmd.phase = phaseStarted
 				c.scheduleReport(now)
@@ -129,10 +134,10 @@
 		c.abandonStart(now, cmd)
 		return
 	}
-	if c.clockMillis == 0 || c.leaseUntilMillis <= c.clockMillis || now.Sub(c.listedAt) > listingTTL {
+	if c.clockMillis == 0 || c.leaseUntilMillis <= c.clockMillis || c.unansweredRenewals > 0 || now.Sub(c.listedAt) > listingTTL {
 		// The owner grants a lease after it has received a reading of the
 		// runner's clock, and a runner that stopped responding may come back
-		// as another incarnation.
+		// as another incarnation, with a clock by which the lease is longer.
 		if !cmd.mayHaveStarted && now.Sub(cmd.receivedAt) >= maxStartHold {
 			c.abandonStart(now, cmd)
 		}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -40,10 +40,10 @@
 }
 
 // listingWait returns how long the runner may wait for a run to finish before
-// it responds. The first listing is requested without a wait, since the owner
-// starts no run on a runner without a listing.
+// it responds. The first listing, and one after a request without a response, is
+// requested without a wait, since no run is started until there is one.
 func (c *Core) listingWait() time.Duration {
-	if c.listedAt.IsZero() {
+	if c.listedAt.IsZero() || c.unansweredRenewals > 0 {
 		return 0
 	}
 	for _, cmd := range c.commands {
--- a/pkg/supervisor/unanswered_test.go
+++ b/pkg/supervisor/unanswered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,3 +45,40 @@
 		assert.Assert(t, !last(h).Unanswered)
 	})
 }
+
+// TestNoStartAfterUnansweredRenewal guards against a start that reaches a later
+// incarnation under the same id, by whose clock its lease is longer than the owner
+// waits for.
+func TestNoStartAfterUnansweredRenewal(t *testing.T) {
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	call := *h.takeAction(isRenewal).Renew
+	h.core.LeaseRenewed(h.now, call, Listing{}, errNoAnswer)
+	h.sync(framer.Sync{
+		Starts:           starts(ref("a.0.0.0")),
+		LeaseUntilMillis: 7000,
+	})
+	assert.Equal(t, h.countOpen(isStart), 0)
+	h.advance(renewBackoff)
+	assert.Equal(t, h.takeAction(isRenewal).Renew.Wait, time.Duration(0), "the next listing is requested without a wait")
+}
+
+// TestRepeatedStartIsStoppedInLaterIncarnation guards against a start that an
+// earlier process of the agent sent, and that arrives at a later incarnation of the
+// runner after the run has ended (seed 4 of TestStepsUnderFaults).
+func TestRepeatedStartIsStoppedInLaterIncarnation(t *testing.T) {
+	repeated := starts(ref("a.0.0.0"))
+	repeated[0].Repeated = true
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.sync(framer.Sync{
+		Starts:           repeated,
+		LeaseUntilMillis: 7000,
+	})
+	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, nil)
+	h.sync(framer.Sync{
+		LeaseUntilMillis: 8000,
+	})
+	h.heartbeat("i-1", 6000, false)
+	assert.Equal(t, h.takeAction(isStop).Stop.Ref, ref("a.0.0.0"))
+}
