Wait for the longest lease of runs that a runner never listed

cause: since leases are shorter than the platform's maximum, the owner waited 6.5 s for the lease of a run whose start may have reached a later incarnation under the same id. That one takes the end of the lease for one by its own clock and shortens it to 10 s.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -377,17 +377,27 @@
 		if !now.After(s.leaseEnd) || !now.After(s.delayedLeaseEnd) {
 			continue
 		}
-		if len(s.tasks) > 0 {
-			c.loseRuns(s, "lease expired")
-		}
+		c.loseExpiredRuns(now, s)
 		// Until then, a delayed call may reach an incarnation that starts under
 		// the same id.
-		if s.agent == "" && now.Sub(s.leaseEnd) > maxCallDelay {
+		if s.agent == "" && len(s.tasks) == 0 && now.Sub(s.leaseEnd) > maxCallDelay {
 			c.removeRunner(s)
 		}
 	}
 }
 
+// loseExpiredRuns releases the tasks of a runner whose lease has expired. A start
+// that the runner has not listed may have reached a later incarnation under the
+// same id, by whose clock its lease is the longest that a runner grants.
+func (c *Cell) loseExpiredRuns(now time.Time, s *runnerState) {
+	unlistedEnd := s.listedAt.Add(listingTTL + maxCallTime + MaxLease(c.cfg.LongestLease))
+	for _, t := range s.placed() {
+		if !t.startSent || t.listed || now.After(unlistedEnd) {
+			c.loseRun(t, "lease expired")
+		}
+	}
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -146,12 +146,16 @@
 // loseRuns releases all tasks of a runner that provably runs none of them.
 func (c *Cell) loseRuns(s *runnerState, why string) {
 	for _, t := range s.placed() {
-		c.Counts.Lost++
-		c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", s.key.ID, "why", why)
-		c.release(t)
+		c.loseRun(t, why)
 	}
 }
 
+func (c *Cell) loseRun(t *task, why string) {
+	c.Counts.Lost++
+	c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", t.runner.key.ID, "why", why)
+	c.release(t)
+}
+
 // drain stops the long-running and checkpointed tasks of a leaving runner, so
 // that they continue elsewhere.
 func (c *Cell) drain(_ time.Time, s *runnerState) {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -20,6 +20,9 @@
 	// leaseMargin for a kill that takes effect late.
 	leaseDriftPercent = 3
 	leaseMargin       = 300 * time.Millisecond
+	// maxCallTime is the longest time from when an agent sends a start until the
+	// runner carries it out, unless the call is delayed.
+	maxCallTime = 500 * time.Millisecond
 	// maxCallDelay is how long an unanswered call may take to be executed.
 	maxCallDelay = 12 * time.Second
 	// leaveMargin is how long a runner may continue after it reported that it
