Place long-running tasks on restarted runners last

cause: a runner that is lost within seconds of a restart under its id delays its tasks by up to 10.6 s, since a delayed call may have granted it the longest lease. ruled out: no tasks on such runners: capacity is missing just after faults. change: such a runner is chosen last for long-running tasks for as long as such a lease may be in force.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -158,6 +158,9 @@
 	penaltyFailed    = 8
 	penaltySlow      = 16
 	penaltyRefused   = 32
+	// penaltyRestarted: a long-running task would wait for long if the runner
+	// was lost.
+	penaltyRestarted = 64
 )
 
 // rating rates a runner for a task; zero is best. Of runners with the same
@@ -210,6 +213,9 @@
 	if s.speed.slow(now) {
 		penalty += penaltySlow
 	}
+	if step.LongRunning && now.Before(s.delayedLeaseEnd) {
+		penalty += penaltyRestarted
+	}
 	if s.startRefusals.recent(now) {
 		penalty += penaltyRefused
 	}
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -103,3 +103,39 @@
 	h.tickUntilIdle()
 	assert.Equal(t, h.cell.jobs["j"].placed, 1)
 }
+
+// TestUnlistedRunWaitsForLongestLease guards against a task that runs twice: a start
+// may reach a later incarnation under the same id, by whose clock its lease is the
+// longest that a runner grants (seeds 22 and 46 of TestStepsUnderFaults).
+func TestUnlistedRunWaitsForLongestLease(t *testing.T) {
+	const longestLease = 10 * time.Second
+	h := newCellHarness(t, "a")
+	h.cell.cfg.LongestLease = longestLease
+	h.advance(time.Second)
+	listedAt := h.now
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.cell.Sync(h.now, "a", true).Starts), 1)
+	h.cell.AgentDisconnected("a")
+	h.now = listedAt.Add(listingTTL + MaxLease(longestLease))
+	h.cell.Tick(h.now, true)
+	assert.Equal(t, h.cell.Counts.Lost, int64(0))
+	h.now = h.now.Add(maxCallTime + expiryInterval)
+	h.cell.Tick(h.now, true)
+	assert.Equal(t, h.cell.Counts.Lost, int64(1))
+}
+
+// TestLongRunningTaskAvoidsRestartedRunner guards against the incident LOST: the
+// tasks of a runner that is lost soon after a restart under its id wait for longer.
+func TestLongRunningTaskAvoidsRestartedRunner(t *testing.T) {
+	h := newCellHarness(t, "a", "b")
+	r := h.runners["a"]
+	r.Runner.ProcessorMillis *= 2
+	r.Runner.Key.StartedAtMillis++
+	r.ClockMillis = 0
+	h.report("a")
+	h.add("j", "checks", newLongRunningStep(500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 0)
+	assert.Equal(t, len(h.acceptStarts("b")), 1)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -125,6 +125,10 @@
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
 guard replaced-incarnation-stays-replaced pkg/supervisor/heartbeat.go 's/ \|\| key == c.replaced//' pkg/supervisor TestDelayedHeartbeatOfReplacedIncarnationIsIgnored
+guard unanswered-renewal-holds-starts pkg/supervisor/commands.go 's/c.unansweredRenewals > 0/false/' pkg/supervisor TestNoStartAfterUnansweredRenewal
+guard repeated-start-is-fenced pkg/supervisor/commands.go 's/if start.Repeated \{/if false {/' pkg/supervisor TestRepeatedStartIsStoppedInLaterIncarnation
+guard unlisted-runs-wait-for-the-longest-lease pkg/scheduler/cell.go 's/MaxLease\(c.cfg.LongestLease\)\)$/c.maxLease())/' pkg/scheduler TestUnlistedRunWaitsForLongestLease
+guard restarted-runners-come-last pkg/scheduler/choosing.go 's/penalty \+= penaltyRestarted/penalty += 0/' pkg/scheduler TestLongRunningTaskAvoidsRestartedRunner
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
