--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -211,10 +211,8 @@
 		l.Abort()
 		return
 	}
-	if s.Epoch != before {
-		a.log.Info("owner changed", "peer", l.Peer.Address, "epoch", s.Epoch)
-	}
 	if a.owner != l {
+		a.log.Info("owner changed", "peer", l.Peer.Address, "epoch", s.Epoch)
 		a.owner = l
 		a.ownerNumber = number
 		a.core.Reconnected(now)
