--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -201,6 +201,11 @@
 		return
 	}
 	c.Counts.Refusals++
+	if a.Refusal == RefusalFenced && call.Header.Epoch < c.epoch {
+		// The epoch was raised while the call was on its way.
+		cmd.retryAt = now
+		return
+	}
 	if a.Refusal == RefusalStaleRun {
 		// The runner has had this run before. Only the listing after a stop
 		// shows whether it finished or was merely fenced.
--- a/pkg/supervisor/epoch_test.go
+++ b/pkg/supervisor/epoch_test.go
@@ -42,3 +42,26 @@
 		assert.Equal(t, lastReport(h).ListedEpoch, uint64(0))
 	})
 }
+
+// TestStartFencedByRaisedEpochIsSentAgain guards against a runner that counts as
+// refusing starts because the epoch was raised while one was on its way.
+func TestStartFencedByRaisedEpochIsSentAgain(t *testing.T) {
+	one := ref("a.0.0.0")
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	request := framer.Sync{
+		Epoch:            1,
+		Starts:           starts(one),
+		LeaseUntilMillis: 7000,
+	}
+	h.sync(request)
+	call := *h.takeAction(isStart).Start
+	request.Epoch = 2
+	h.sync(request)
+	h.core.StartAnswered(h.now, call, Answer{
+		Refusal: RefusalFenced,
+	}, nil)
+	h.tick()
+	assert.Equal(t, h.takeAction(isStart).Start.Header.Epoch, uint64(2))
+	assert.Assert(t, !h.reportedNeverStarted(one))
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -129,6 +129,7 @@
 guard repeated-start-is-fenced pkg/supervisor/commands.go 's/if start.Repeated \{/if false {/' pkg/supervisor TestRepeatedStartIsStoppedInLaterIncarnation
 guard unlisted-runs-wait-for-the-longest-lease pkg/scheduler/cell.go 's/MaxLease\(c.cfg.LongestLease\)\)$/c.maxLease())/' pkg/scheduler TestUnlistedRunWaitsForLongestLease
 guard restarted-runners-come-last pkg/scheduler/choosing.go 's/penalty \+= penaltyRestarted/penalty += 0/' pkg/scheduler TestLongRunningTaskAvoidsRestartedRunner
+guard raised-epoch-is-no-refusal pkg/supervisor/commands.go 's/a.Refusal == RefusalFenced \&\& /false \&\& /' pkg/supervisor TestStartFencedByRaisedEpochIsSentAgain
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
