--- a/pkg/controller/cell_play_test.go
+++ b/pkg/controller/cell_play_test.go
@@ -144,10 +144,10 @@
 			Owner: other,
 			Epoch: formerEpoch,
 		},
-		RunnerLeaseMillis: e.longestGranted(p.now).Milliseconds(),
+		RunnerLeaseMillis: e.longestInForce(p.now).Milliseconds(),
 	})
 	e.observeLease(changedAt)
-	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
+	e.owner.formerLeasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
 	e.owner.lease.ConfirmedAtVersion(p.now, 6)
 	p.entry = e
 	p.cell = scheduler.NewCell(e.cellConfig())
--- a/pkg/controller/delayed_lease_test.go
+++ b/pkg/controller/delayed_lease_test.go
@@ -35,7 +35,7 @@
 			ListedEpoch: epoch,
 		})
 	}
-	e.owner.leasesEnd = h.now
+	e.owner.formerLeasesEnd = h.now
 	h.now = h.now.Add(20 * time.Second)
 	report(h.now.UnixMilli()-1000, e.owner.lease.Epoch())
 	report(h.now.UnixMilli()-10, 0)
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -108,7 +108,7 @@
 		Assert:          e.assert,
 		Lease:           RunnerLease(e.cfg),
 		LongestLease:    time.Duration(e.cfg.LongestLease),
-		FormerLeasesEnd: o.leasesEnd,
+		FormerLeasesEnd: o.formerLeasesEnd,
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -43,10 +43,10 @@
 	// acquired.
 	loading bool
 	former  formerOwner
-	// leasesEnd is when the last lease of a runner expires that a former owner
+	// formerLeasesEnd is when the last lease of a runner expires that a former owner
 	// can have granted.
-	leasesEnd time.Time
-	lastWrite time.Time
+	formerLeasesEnd time.Time
+	lastWrite       time.Time
 	// nextModelWrite is when learned models are written next, and nextModel the
 	// number of the first one.
 	nextModelWrite time.Time
@@ -116,7 +116,7 @@
 	if o.write != nil || o.leaving || !e.leaseRead || !mayAcquire(now, o.lease, e.relay.Slow(), e.yieldTime()) {
 		return
 	}
-	o.leasesEnd = o.former.leasesEnd(o.lease.SeenAt(), time.Duration(e.cfg.LongestLease))
+	o.formerLeasesEnd = o.former.leasesEnd(o.lease.SeenAt(), time.Duration(e.cfg.LongestLease))
 	e.startWrite(now, &pendingWrite{
 		acquire: true,
 	})
@@ -206,7 +206,7 @@
 				Lease:             row,
 				Address:           e.cfg.Link,
 				Serial:            w.serial,
-				RunnerLeaseMillis: e.longestGranted(now).Milliseconds(),
+				RunnerLeaseMillis: e.longestInForce(now).Milliseconds(),
 			}),
 		}},
 	}
--- a/pkg/controller/runner_leases.go
+++ b/pkg/controller/runner_leases.go
@@ -44,12 +44,12 @@
 	return f.runnerLease
 }
 
-// longestGranted returns the duration of the longest lease of a runner that may
+// longestInForce returns the duration of the longest lease of a runner that may
 // be in force: this owner's, a former one's until the last of those expired, or
 // one that a delayed call granted.
-func (e *Entry) longestGranted(now time.Time) time.Duration {
+func (e *Entry) longestInForce(now time.Time) time.Duration {
 	lease := RunnerLease(e.cfg)
-	if !now.After(e.owner.leasesEnd) {
+	if !now.After(e.owner.formerLeasesEnd) {
 		lease = max(lease, e.owner.former.lease(time.Duration(e.cfg.LongestLease)))
 	}
 	if e.owner.cell != nil {
--- a/pkg/controller/runner_leases_test.go
+++ b/pkg/controller/runner_leases_test.go
@@ -33,7 +33,7 @@
 	e.owner.lease = leaser.New(self)
 	e.cache.lease = leaseRowOf(row)
 	e.observeLease(seenAt)
-	e.owner.leasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
+	e.owner.formerLeasesEnd = e.owner.former.leasesEnd(e.owner.lease.SeenAt(), platformLease)
 	return e
 }
 
@@ -45,7 +45,7 @@
 	assertCovers := func(t *testing.T, row leaseRow, lease time.Duration) {
 		t.Helper()
 		last := seenAt.Add(leaseDuration + lease*102/100)
-		assert.Assert(t, entryAfter(seenAt, row).owner.leasesEnd.After(last))
+		assert.Assert(t, entryAfter(seenAt, row).owner.formerLeasesEnd.After(last))
 	}
 	t.Run("the row states the leases", func(t *testing.T) {
 		row := leaseRow{
@@ -62,17 +62,17 @@
 	seenAt := time.Unix(1000, 0)
 	t.Run("a former owner's while it may be in force", func(t *testing.T) {
 		e := entryAfter(seenAt, leaseRow{})
-		assert.Equal(t, e.longestGranted(e.owner.leasesEnd), platformLease)
+		assert.Equal(t, e.longestInForce(e.owner.formerLeasesEnd), platformLease)
 	})
 	t.Run("its own afterwards", func(t *testing.T) {
 		e := entryAfter(seenAt, leaseRow{})
-		assert.Equal(t, e.longestGranted(e.owner.leasesEnd.Add(1)), RunnerLease(e.cfg))
+		assert.Equal(t, e.longestInForce(e.owner.formerLeasesEnd.Add(1)), RunnerLease(e.cfg))
 	})
 	t.Run("its own if that is longer", func(t *testing.T) {
 		e := entryAfter(seenAt, leaseRow{
 			RunnerLeaseMillis: 1000,
 		})
-		assert.Equal(t, e.longestGranted(seenAt), RunnerLease(e.cfg))
+		assert.Equal(t, e.longestInForce(seenAt), RunnerLease(e.cfg))
 	})
 }
 
--- a/pkg/experimenter/cell_liveness_test.go
+++ b/pkg/experimenter/cell_liveness_test.go
@@ -198,7 +198,8 @@
 }
 
 // injectCellFaultOrPartition injects a fault of TestCellUnderFaults, makes a worker
-// fail its tasks, slows the table, or cuts an owner off from the table or from random workers.
+// fail its tasks, slows the table, or cuts an owner off from the table or from
+// random workers.
 func injectCellFaultOrPartition(sim *CellSimulation, rnd *rand.Rand, submitted map[string]bool) {
 	o := sim.Owners[rnd.IntN(len(sim.Owners))]
 	worker := sim.Workers[rnd.IntN(len(sim.Workers))].Worker
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -115,7 +115,8 @@
 }
 
 // commit writes the changed progress rows to the store, with a higher epoch if the
-// cell requires one, unless a newer owner has taken over. It retries every 100 ms while the store is down.
+// cell requires one, unless a newer owner has taken over. It retries every 100 ms
+// while the store is down.
 func (sim *stepsSimulation) commit(o *stepsOwner) {
 	if o.committing {
 		return
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -143,7 +143,7 @@
 	c.cfg.Epoch = epoch
 	c.cfg.LogEvent("epoch raised")
 	for _, s := range c.runners {
-		if s.fencedFrom > 0 {
+		if s.fenceEpoch > 0 {
 			s.needsSync()
 		}
 	}
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -14,7 +14,10 @@
 // task needs: one that fits twice is to run however full the service is.
 const reservePercent = 6
 
-// chooseRunner returns the best runner for a task, or nil. gang lists the
+// chooseRunner returns the best runner for a task, or nil: the best schedulable one
+// (chooseSchedulable), of which only those need to be looked at that improved since
+// none could hold the task (chooseImproved), or else a quarantined one, if the task
+// has waited for long (chooseQuarantined). gang lists the
 // runners that were chosen for earlier members of the task's gang. A rack-local
 // gang prefers runners with the labels of the first one, which name its rack.
 func (c *Cell) chooseRunner(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -41,15 +41,10 @@
 	upTo uint64
 }
 
-// Commit returns the rows that changed since the last commit, at most
-// commitLimit of them and maxCommitBytes, those that changed first, and reports
-// whether there are any. It must not be called again before Committed or Rejected. The row of a job
-// that was rejected is left out for rejectedRowDelay, and then written on its own.
+// Commit returns the rows that changed since the last commit and reports whether
+// there are any. It must not be called again before Committed or Rejected.
 func (c *Cell) Commit() (Commit, bool) {
-	jobs := slices.SortedFunc(maps.Keys(c.changed), func(a, b *job) int {
-		return cmp.Compare(c.changed[a], c.changed[b])
-	})
-	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return !j.rejectedUntil.IsZero() })
+	jobs, limit := c.jobsToCommit()
 	if len(jobs) == 0 {
 		c.advanceCommitted(c.change)
 		return Commit{}, false
@@ -57,37 +52,53 @@
 	commit := Commit{
 		upTo: c.change,
 	}
-	limit := c.commitLimit
-	if i := slices.IndexFunc(jobs, func(j *job) bool { return j.rejected }); i >= 0 {
-		jobs = slices.Concat(jobs[i:i+1], jobs[:i], jobs[i+1:])
-		limit = 1
-	}
 	size := 0
 	for i, j := range jobs {
-		row := Row{
-			ID:       j.spec.ID,
-			Progress: j.progress(),
-			since:    c.changed[j],
-		}
+		row := newRow(j, c.changed[j])
 		size += row.Progress.size()
 		if i == limit || i > 0 && size > maxCommitBytes {
 			commit.upTo = c.changed[j] - 1
 			break
 		}
 		delete(c.changed, j)
-		for _, t := range j.tasks() {
-			if t.runner != nil {
-				row.runs = append(row.runs, committedRun{
-					task: t,
-					run:  t.run,
-				})
-			}
-		}
 		commit.Rows = append(commit.Rows, row)
 	}
 	return commit, true
 }
 
+// jobsToCommit returns the jobs with changed rows, those that changed first at the
+// front, and how many of them may be in one commit. A job whose row was rejected is
+// left out for rejectedRowDelay, and then written on its own.
+func (c *Cell) jobsToCommit() (jobs []*job, limit int) {
+	jobs = slices.SortedFunc(maps.Keys(c.changed), func(a, b *job) int {
+		return cmp.Compare(c.changed[a], c.changed[b])
+	})
+	jobs = slices.DeleteFunc(jobs, func(j *job) bool { return !j.rejectedUntil.IsZero() })
+	i := slices.IndexFunc(jobs, func(j *job) bool { return j.rejected })
+	if i < 0 {
+		return jobs, c.commitLimit
+	}
+	return slices.Concat(jobs[i:i+1], jobs[:i], jobs[i+1:]), 1
+}
+
+// newRow returns the row of a job whose first change since its last row is since.
+func newRow(j *job, since uint64) Row {
+	row := Row{
+		ID:       j.spec.ID,
+		Progress: j.progress(),
+		since:    since,
+	}
+	for _, t := range j.tasks() {
+		if t.runner != nil {
+			row.runs = append(row.runs, committedRun{
+				task: t,
+				run:  t.run,
+			})
+		}
+	}
+	return row
+}
+
 // advanceCommitted records that all changes up to one are persisted, except those
 // of rejected rows.
 func (c *Cell) advanceCommitted(upTo uint64) {
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -81,7 +81,7 @@
 			return
 		}
 		c.start(now, s, t)
-		s.recordProbe(now)
+		s.recordPlacement(now)
 		mayBeRefused = mayBeRefused || s.startRefusals.recent(now)
 		w.starved = w.starved && w.job.placed < minRunning
 	}
@@ -94,10 +94,10 @@
 type fullRunners struct {
 	change uint64
 	queues *Queues
-	// waitingSince is since when the step has had tasks that no runner could
+	// noRunnerSince is since when the step has had tasks that no runner could
 	// hold, or only one that recently refused a start; it is zero if there are
 	// none.
-	waitingSince time.Time
+	noRunnerSince time.Time
 }
 
 func (c *Cell) recordFullRunners(w *candidate) {
@@ -284,6 +284,6 @@
 		t.run = run
 		t.checkpoint = members[0].checkpoint
 		c.start(now, bound[i], t)
-		bound[i].recordProbe(now)
+		bound[i].recordPlacement(now)
 	}
 }
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -40,7 +40,7 @@
 				break
 			}
 			c.start(now, s, t)
-			s.probedAt = now
+			s.lastPlacedAt = now
 			waits = waits || s.startRefusals.recent(now)
 			w.starved = w.starved && w.job.placed < minRunning
 		}
@@ -80,13 +80,13 @@
 		t.run = run
 		t.checkpoint = members[0].checkpoint
 		c.start(now, bound[i], t)
-		bound[i].probedAt = now
+		bound[i].lastPlacedAt = now
 	}
 }
 
 // waitByScan records since when a step has had tasks that no runner could hold.
 func waitByScan(now time.Time, w *candidate, waits bool) {
-	since := &w.occurrence.full[w.step].waitingSince
+	since := &w.occurrence.full[w.step].noRunnerSince
 	if !waits {
 		*since = time.Time{}
 	} else if since.IsZero() {
@@ -131,7 +131,7 @@
 // chooseQuarantinedByScan chooses a quarantined runner for a task that waited
 // for long.
 func chooseQuarantinedByScan(c *Cell, now time.Time, w *candidate, t *task) *runnerState {
-	since := w.occurrence.full[w.step].waitingSince
+	since := w.occurrence.full[w.step].noRunnerSince
 	if since.IsZero() || now.Sub(since) < maxQuarantineWait || !t.spec().LongRunning && w.job.placed > 0 {
 		return nil
 	}
@@ -142,7 +142,7 @@
 	var best *runnerState
 	for _, key := range slices.SortedFunc(maps.Keys(c.runners), compareKeys) {
 		s := c.runners[key]
-		probed := now.Sub(s.probedAt) < interval
+		probed := now.Sub(s.lastPlacedAt) < interval
 		if s.info.Service != c.service(w.job) || !s.available(now) || !s.quarantined(now) || probed || !c.fits(s, w, t) {
 			continue
 		}
--- a/pkg/scheduler/quarantined_choice.go
+++ b/pkg/scheduler/quarantined_choice.go
@@ -25,7 +25,7 @@
 	if step.LongRunning {
 		interval = longRunningProbeInterval
 	}
-	return now.Sub(s.probedAt) >= interval && s.available(now) && s.quarantined(now)
+	return now.Sub(s.lastPlacedAt) >= interval && s.available(now) && s.quarantined(now)
 }
 
 // mayUseQuarantined reports whether tasks of a step may be placed on quarantined
@@ -33,7 +33,7 @@
 // job is cancelled or the job has nothing running. Other tasks have a limited
 // number of attempts, and their job makes progress without them.
 func (w *candidate) mayUseQuarantined(now time.Time) bool {
-	since := w.occurrence.full[w.step].waitingSince
+	since := w.occurrence.full[w.step].noRunnerSince
 	if since.IsZero() || now.Sub(since) < maxQuarantineWait {
 		return false
 	}
@@ -88,15 +88,15 @@
 	}
 }
 
-// recordProbe records that a task was placed on a runner, for the time until
-// the next one if the runner is quarantined.
-func (s *runnerState) recordProbe(now time.Time) {
-	s.probedAt = now
+// recordPlacement records that a task was placed on a runner. A quarantined one gets
+// the next task some time later.
+func (s *runnerState) recordPlacement(now time.Time) {
+	s.lastPlacedAt = now
 }
 
 // recordWaiting records whether a step has tasks that no runner could hold.
 func (w *candidate) recordWaiting(now time.Time, waiting bool) {
-	since := &w.occurrence.full[w.step].waitingSince
+	since := &w.occurrence.full[w.step].noRunnerSince
 	switch {
 	case !waiting:
 		*since = time.Time{}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -74,18 +74,9 @@
 	before := s.info.Address
 	s.setInfo(info)
 	c.incarnations.moved(s, before)
-	for _, old := range c.incarnations.earlier(s) {
-		if old.key.ID == info.Key.ID {
-			c.supersede(now, old, s)
-			continue
-		}
-		// Calls to the former runner carry its id, so none of them takes effect
-		// on this one.
-		c.loseRuns(old, "another runner uses its address")
-		c.removeRunner(old)
-	}
+	c.replaceEarlier(now, s)
 	if !s.reported {
-		// A former owner may have granted it a lease just now.
+		// The owner has granted it nothing yet, a former one may have.
 		s.leaseEnd = maxTime(s.leaseEnd, now.Add(c.maxLease()))
 		c.cfg.LogEvent("runner registered", "runner", info.Key.ID, "born-millis", info.Key.StartedAtMillis, "agent", agent)
 	}
@@ -93,9 +84,7 @@
 	s.setAgent(agent)
 	c.agents[agent] = s
 	if info.Left {
-		end := now.Add(leaveMargin)
-		s.leaseEnd = minTime(s.leaseEnd, end)
-		s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, end)
+		s.limitLeases(now.Add(leaveMargin))
 	}
 	if draining {
 		c.drain(now, s)
@@ -103,6 +92,27 @@
 	return s
 }
 
+// replaceEarlier replaces the earlier incarnations of a runner and the earlier
+// runners with its address.
+func (c *Cell) replaceEarlier(now time.Time, s *runnerState) {
+	for _, old := range c.incarnations.earlier(s) {
+		if old.key.ID == s.key.ID {
+			c.supersede(now, old, s)
+			continue
+		}
+		// Calls to the former runner carry its id, so none of them takes effect
+		// on this one.
+		c.loseRuns(old, "another runner uses its address")
+		c.removeRunner(old)
+	}
+}
+
+// limitLeases records that no lease of the runner lasts beyond end.
+func (s *runnerState) limitLeases(end time.Time) {
+	s.leaseEnd = minTime(s.leaseEnd, end)
+	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, end)
+}
+
 // supersede replaces an earlier incarnation of a runner that restarted with the
 // same id. Delayed start requests for the earlier incarnation may still reach
 // the new one, so recent and unlisted runs are stopped there before they start
@@ -126,8 +136,8 @@
 	// a lease by the earlier incarnation's clock, which this one shortens to the
 	// longest that it grants. A higher epoch makes this one reject such calls.
 	s.delayedLeaseEnd = now.Add(maxCallDelay + MaxLease(c.cfg.LongestLease))
-	s.fencedFrom = c.cfg.Epoch + 1
-	c.requiredEpoch = s.fencedFrom
+	s.fenceEpoch = c.cfg.Epoch + 1
+	c.requiredEpoch = s.fenceEpoch
 	c.removeRunner(old)
 }
 
@@ -135,10 +145,10 @@
 // incarnation once it has listed its runs under a higher epoch. What they
 // granted before expires a longest lease later.
 func (c *Cell) recordFence(now time.Time, s *runnerState, r framer.Report) {
-	if s.fencedFrom == 0 || !r.Listed || r.ListedEpoch < s.fencedFrom {
+	if s.fenceEpoch == 0 || !r.Listed || r.ListedEpoch < s.fenceEpoch {
 		return
 	}
-	s.fencedFrom = 0
+	s.fenceEpoch = 0
 	listedAt := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
 	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, listedAt.Add(MaxLease(c.cfg.LongestLease)))
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -61,11 +61,11 @@
 	// leaseEnd is when the last lease that could have been granted expires.
 	leaseEnd time.Time
 	// delayedLeaseEnd is when a lease expires that a delayed call for an earlier
-	// incarnation can have granted. fencedFrom is the epoch from which calls are
+	// incarnation can have granted. fenceEpoch is the epoch from which calls are
 	// sent to this incarnation only; zero if there was no earlier one, or once
 	// the runner has answered such a call.
 	delayedLeaseEnd time.Time
-	fencedFrom      uint64
+	fenceEpoch      uint64
 	tasks           map[*task]struct{}
 	allocated       publisher.Resources
 	// bestEffortMillis and latencyCriticalMillis are the processors that tasks
@@ -114,8 +114,8 @@
 	failedJobs       []string
 	quarantine       time.Duration
 	quarantinedUntil time.Time
-	// probedAt is when a task was last placed on the runner.
-	probedAt      time.Time
+	// lastPlacedAt is when a task was last placed on the runner.
+	lastPlacedAt  time.Time
 	startRefusals startRefusals
 }
 
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -96,7 +96,7 @@
 guard one-burst-counts-once pkg/scheduler/runner_state.go 's/if now.Before\(s.quarantinedUntil\)/if false/' pkg/scheduler TestBurstOfFailuresQuarantinesOnce
 guard long-running-tasks-do-not-extend-quarantine pkg/scheduler/runner_state.go 's/s.finiteTasks\(\) > 0/len(s.tasks) > 0/' pkg/scheduler TestQuarantinedRunnerWithLongRunningTaskIsRetried
 guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
-guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.probedAt\) >= interval/(s.probedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
+guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.lastPlacedAt\) >= interval/(s.lastPlacedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
 guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestRefusedStart
 guard refusals-are-forgotten pkg/scheduler/start_refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
@@ -115,8 +115,8 @@
 guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
 guard placement-extends-no-lease pkg/scheduler/placing.go 's/s.clockAt.Add\(c.maxLease/now.Add(c.maxLease/' pkg/scheduler TestPlacementDoesNotExtendLeaseOfLostRunner
 guard delayed-calls-grant-leases pkg/scheduler/cell.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
-guard higher-epoch-ends-the-wait pkg/scheduler/report.go 's/r.ListedEpoch < s.fencedFrom/true/' pkg/scheduler TestLeaseOfRestartedRunner
-guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fencedFrom//' pkg/scheduler TestLeaseOfRestartedRunner
+guard higher-epoch-ends-the-wait pkg/scheduler/report.go 's/r.ListedEpoch < s.fenceEpoch/true/' pkg/scheduler TestLeaseOfRestartedRunner
+guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fenceEpoch//' pkg/scheduler TestLeaseOfRestartedRunner
 guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \&\& !s.unanswered \&\&/ \&\&/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/lease = max\(lease, e.owner.cell.*//' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
