--- a/pkg/controller/delayed_lease_test.go
+++ b/pkg/controller/delayed_lease_test.go
@@ -53,11 +53,10 @@
 		Value:   e.owner.write.change.Puts[0].Value,
 	})
 	assert.NilError(t, err)
-	former := formerOwner{
-		runnerLease: time.Duration(row.RunnerLeaseMillis) * time.Millisecond,
-	}
+	var former formerOwner
+	former.observe(row)
 	seenAt := h.now
-	assert.Assert(t, former.leasesEnd(seenAt, platformLease).After(fencedAt.Add(platformLease*102/100)),
-		"the next owner releases the runs %v after the call, which granted %v",
-		former.leasesEnd(seenAt, platformLease).Sub(fencedAt), platformLease)
+	assert.Assert(t, former.delayedLeasesEnd(seenAt)["i-a"].After(fencedAt.Add(platformLease*102/100)),
+		"the next owner does not wait for what the call granted: %v", row.DelayedLeaseMillis)
+	assert.Assert(t, former.leasesEnd(seenAt, platformLease).Before(fencedAt.Add(platformLease)), "others wait no longer")
 }
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
@@ -109,6 +110,7 @@
 		Lease:           RunnerLease(e.cfg),
 		LongestLease:    time.Duration(e.cfg.LongestLease),
 		FormerLeasesEnd: o.formerLeasesEnd,
+		DelayedLeases:   maps.Clone(o.delayedLeases),
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -46,7 +46,10 @@
 	// formerLeasesEnd is when the last lease of a runner expires that a former owner
 	// can have granted.
 	formerLeasesEnd time.Time
-	lastWrite       time.Time
+	// delayedLeases is when the last lease expires that a delayed call can have
+	// granted a runner before the cell was acquired, by the runner's id.
+	delayedLeases map[string]time.Time
+	lastWrite     time.Time
 	// nextModelWrite is when learned models are written next, and nextModel the
 	// number of the first one.
 	nextModelWrite time.Time
@@ -83,7 +86,7 @@
 	}
 	if !e.owner.lease.Held() && e.owner.write == nil {
 		e.owner.lease.Observe(now, e.cache.lease.Version, row.Lease)
-		e.owner.former.runnerLease = time.Duration(row.RunnerLeaseMillis) * time.Millisecond
+		e.owner.former.observe(row)
 	}
 }
 
@@ -117,6 +120,7 @@
 		return
 	}
 	o.formerLeasesEnd = o.former.leasesEnd(o.lease.SeenAt(), time.Duration(e.cfg.LongestLease))
+	o.delayedLeases = o.former.delayedLeasesEnd(o.lease.SeenAt())
 	e.startWrite(now, &pendingWrite{
 		acquire: true,
 	})
@@ -207,6 +211,8 @@
 				Address:           e.cfg.Link,
 				Serial:            w.serial,
 				RunnerLeaseMillis: e.longestInForce(now).Milliseconds(),
+
+				DelayedLeaseMillis: e.delayedLeaseMillis(now),
 			}),
 		}},
 	}
--- a/pkg/controller/rows.go
+++ b/pkg/controller/rows.go
@@ -45,6 +45,9 @@
 	// RunnerLeaseMillis is the duration of the longest lease of a runner that
 	// may be in force, in milliseconds; 0 if the owner does not state it.
 	RunnerLeaseMillis int64 `cbor:"runner-lease-millis,omitempty"`
+	// DelayedLeaseMillis is the time until the last lease expires that a delayed
+	// call can have granted a runner, in milliseconds, by the runner's id.
+	DelayedLeaseMillis map[string]int64 `cbor:"delayed-lease-millis,omitempty"`
 }
 
 // jobPartition returns the partition of a job. Jobs are spread over partitions
--- a/pkg/controller/runner_leases.go
+++ b/pkg/controller/runner_leases.go
@@ -25,6 +25,28 @@
 	// runnerLease is the duration of the longest lease of a runner that may be
 	// in force; zero if the row does not state it.
 	runnerLease time.Duration
+	// delayedLeases is the time until the last lease expires that a delayed call
+	// can have granted a runner, by the runner's id.
+	delayedLeases map[string]time.Duration
+}
+
+// observe records what a lease row states.
+func (f *formerOwner) observe(row leaseRow) {
+	f.runnerLease = time.Duration(row.RunnerLeaseMillis) * time.Millisecond
+	f.delayedLeases = map[string]time.Duration{}
+	for id, millis := range row.DelayedLeaseMillis {
+		f.delayedLeases[id] = time.Duration(millis) * time.Millisecond
+	}
+}
+
+// delayedLeasesEnd returns when the leases expire that delayed calls can have
+// granted, by the runner's id. The row was written before it was seen at seenAt.
+func (f *formerOwner) delayedLeasesEnd(seenAt time.Time) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for id, remaining := range f.delayedLeases {
+		ends[id] = seenAt.Add(remaining)
+	}
+	return ends
 }
 
 // leasesEnd returns when the last lease of a runner expires that a former owner
@@ -45,15 +67,27 @@
 }
 
 // longestInForce returns the duration of the longest lease of a runner that may
-// be in force: this owner's, a former one's until the last of those expired, or
-// one that a delayed call granted.
+// be in force: this owner's, or a former one's until the last of those expired.
 func (e *Entry) longestInForce(now time.Time) time.Duration {
 	lease := RunnerLease(e.cfg)
 	if !now.After(e.owner.formerLeasesEnd) {
 		lease = max(lease, e.owner.former.lease(time.Duration(e.cfg.LongestLease)))
 	}
+	return lease
+}
+
+// delayedLeaseMillis returns the time until the leases expire that delayed calls
+// can have granted, in milliseconds, by the runner's id.
+func (e *Entry) delayedLeaseMillis(now time.Time) map[string]int64 {
+	ends := e.owner.delayedLeases
 	if e.owner.cell != nil {
-		lease = max(lease, e.owner.cell.DelayedLeasesEnd().Sub(now))
+		ends = e.owner.cell.DelayedLeases(now)
 	}
-	return lease
+	millis := map[string]int64{}
+	for id, end := range ends {
+		if remaining := end.Sub(now); remaining > 0 {
+			millis[id] = remaining.Milliseconds() + 1
+		}
+	}
+	return millis
 }
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -43,7 +43,8 @@
 			LogEvent:        func(message string, pairs ...any) { sim.logf("cell: %s %v", message, pairs) },
 			Lease:           sim.lease,
 			LongestLease:    sim.longestLease,
-			FormerLeasesEnd: sim.formerLeasesEnd(former),
+			FormerLeasesEnd: sim.formerLeasesEnd(),
+			DelayedLeases:   sim.delayedLeases(former),
 		})
 		o.cell.SetQueues(sim.queues)
 		for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
@@ -72,13 +73,18 @@
 }
 
 // formerLeasesEnd returns when the last lease expires that an owner which is
-// replaced now, or a delayed call that it knew of, can have granted.
-func (sim *stepsSimulation) formerLeasesEnd(former *stepsOwner) time.Time {
-	end := sim.Now().Add(sim.ownerLease + scheduler.MaxLease(sim.lease))
-	if former != nil && former.cell.DelayedLeasesEnd().After(end) {
-		return former.cell.DelayedLeasesEnd()
+// replaced now can have granted.
+func (sim *stepsSimulation) formerLeasesEnd() time.Time {
+	return sim.Now().Add(sim.ownerLease + scheduler.MaxLease(sim.lease))
+}
+
+// delayedLeases returns what the former owner knew of leases that delayed calls can
+// have granted.
+func (sim *stepsSimulation) delayedLeases(former *stepsOwner) map[string]time.Time {
+	if former == nil {
+		return nil
 	}
-	return end
+	return former.cell.DelayedLeases(sim.Now())
 }
 
 // tickOwner connects agents, ticks the cell, sends changed syncs to agents and
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -35,6 +35,9 @@
 	// FormerLeasesEnd is when the last lease that a former owner could have
 	// granted expires.
 	FormerLeasesEnd time.Time
+	// DelayedLeases holds when the last lease expires that a delayed call can
+	// have granted a runner before the cell was acquired, by the runner's id.
+	DelayedLeases map[string]time.Time
 	// LogEvent logs a scheduling decision as a constant message with key/value
 	// pairs. It may be nil.
 	LogEvent func(message string, pairs ...any)
@@ -149,14 +152,21 @@
 	}
 }
 
-// DelayedLeasesEnd returns when the last lease expires that a delayed call for an
-// earlier incarnation of a runner can have granted; zero if there is none.
-func (c *Cell) DelayedLeasesEnd() time.Time {
-	var end time.Time
-	for _, s := range c.runners {
-		end = maxTime(end, s.delayedLeaseEnd)
+// DelayedLeases returns when the last lease expires that a delayed call for an
+// earlier incarnation can have granted a runner, by the runner's id.
+func (c *Cell) DelayedLeases(now time.Time) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for id, end := range c.cfg.DelayedLeases {
+		if end.After(now) {
+			ends[id] = end
+		}
 	}
-	return end
+	for key, s := range c.runners {
+		if s.delayedLeaseEnd.After(now) {
+			ends[key.ID] = maxTime(ends[key.ID], s.delayedLeaseEnd)
+		}
+	}
+	return ends
 }
 
 // SetQueues replaces the queue configuration unless q is nil or older than the
@@ -259,6 +269,13 @@
 	s := c.runners[key]
 	if s == nil {
 		s = newRunnerState(key, c.cfg.FormerLeasesEnd, c.index, c.syncs)
+		if end, ok := c.cfg.DelayedLeases[key.ID]; ok {
+			// Once the runner has listed its runs under this owner's epoch, it
+			// rejects the calls of earlier ones.
+			s.delayedLeaseEnd = end
+			s.fenceEpoch = c.cfg.Epoch
+			delete(c.cfg.DelayedLeases, key.ID)
+		}
 		c.runners[key] = s
 		c.incarnations.add(s)
 		c.index.improved(s)
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -139,3 +139,49 @@
 	assert.Equal(t, len(h.acceptStarts("a")), 0)
 	assert.Equal(t, len(h.acceptStarts("b")), 1)
 }
+
+// TestNextOwnerWaitsForDelayedLeases guards against a task that runs twice: a delayed
+// call may have granted its runner a longer lease than the former owner did.
+func TestNextOwnerWaitsForDelayedLeases(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	end := now.Add(20 * time.Second)
+	load := func(runner string) *Cell {
+		cell := NewCell(Config{
+			Epoch:           2,
+			Assert:          strictAsserter(t),
+			Lease:           testLease,
+			FormerLeasesEnd: now.Add(testLease),
+			DelayedLeases: map[string]time.Time{
+				"i-restarted": end,
+			},
+		})
+		cell.Load(now, Spec{
+			ID:      "j",
+			Queue:   "checks",
+			Service: "polls",
+			Steps:   []Step{newStep(1, 500)},
+		}, Progress{
+			State: StateRunning,
+			Tasks: []TaskProgress{{
+				Run:      1,
+				RunnerID: runner,
+			}},
+		})
+		return cell
+	}
+	t.Run("a runner that restarted under its id", func(t *testing.T) {
+		cell := load("i-restarted")
+		cell.Tick(end, false)
+		assert.Equal(t, cell.Counts.Lost, int64(0))
+		cell.Tick(end.Add(expiryInterval), false)
+		assert.Equal(t, cell.Counts.Lost, int64(1))
+	})
+	t.Run("any other runner", func(t *testing.T) {
+		cell := load("i-other")
+		cell.Tick(now.Add(testLease+expiryInterval), false)
+		assert.Equal(t, cell.Counts.Lost, int64(1))
+	})
+	t.Run("they are stated for the owner after it", func(t *testing.T) {
+		assert.DeepEqual(t, load("i-restarted").DelayedLeases(now), load("i-other").DelayedLeases(now))
+	})
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -119,7 +119,8 @@
 guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/report.go 's/ \|\| r.ListedEpoch < s.fenceEpoch//' pkg/scheduler TestLeaseOfRestartedRunner
 guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \&\& !s.unanswered \&\&/ \&\&/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
-guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/lease = max\(lease, e.owner.cell.*//' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
+guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/ends = e.owner.cell.DelayedLeases.now./_ = now/' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
+guard next-owner-waits-for-delayed-leases pkg/scheduler/cell.go 's/s.delayedLeaseEnd = end$//' pkg/scheduler TestNextOwnerWaitsForDelayedLeases
 guard expired-runners-are-remembered pkg/scheduler/cell.go 's/ \&\& now.Sub\(s.leaseEnd\) > maxCallDelay//' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
 guard lease-counts-from-first-attempt pkg/controller/owner.go 's/w.sentAt = w.firstSentAt//' pkg/controller TestLeaseOfResentWriteCountsFromFirstAttempt
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
