--- a/pkg/experimenter/steps_waiting_test.go
+++ b/pkg/experimenter/steps_waiting_test.go
@@ -167,35 +167,45 @@
 func TestLongRunningTasksRunAgainInTime(t *testing.T) {
 	for _, lease := range []time.Duration{stepsLease, stepsLongestLease} {
 		for _, seed := range seeds(2) {
-			t.Run(fmt.Sprintf("lease-%s-seed-%d", lease, seed), func(t *testing.T) {
-				sim := newWaitingSimulation(t, seed, lease)
-				sim.Every(checkInterval, func() bool {
-					sim.checkWaits()
-					return true
-				})
-				interval := sim.duration(200, 1200)
-				over := false
-				sim.Every(interval, func() bool {
-					sim.addFinite()
-					return !over
-				})
-				for range 10 {
-					sim.addLongRunning()
-				}
-				sim.RunUntil(sim.Now().Add(4 * time.Second))
-				for range waitingPhases {
-					sim.phase()
-				}
-				over = true
-				sim.cancelLongRunning()
-				for range minRunners {
-					sim.addRunner("s")
-				}
-				sim.RunUntil(sim.Now().Add(90 * time.Second))
-				sim.checkEnds()
-				assert.Assert(t, sim.restarts > 0)
-				t.Logf("%d restarts, longest wait %s", sim.restarts, sim.longestWait)
-			})
+			t.Run(fmt.Sprintf("lease-%s-seed-%d", lease, seed), func(t *testing.T) { testWaits(t, seed, lease) })
 		}
 	}
 }
+
+// TestJobsOfUnlistedRunsRunAgainInTime guards against the same for a job whose run
+// was sent just before its runner was lost, and was never listed.
+func TestJobsOfUnlistedRunsRunAgainInTime(t *testing.T) {
+	for _, seed := range []uint64{9, 37} {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { testWaits(t, seed, stepsLongestLease) })
+	}
+}
+
+func testWaits(t *testing.T, seed uint64, lease time.Duration) {
+	sim := newWaitingSimulation(t, seed, lease)
+	sim.Every(checkInterval, func() bool {
+		sim.checkWaits()
+		return true
+	})
+	interval := sim.duration(200, 1200)
+	over := false
+	sim.Every(interval, func() bool {
+		sim.addFinite()
+		return !over
+	})
+	for range 10 {
+		sim.addLongRunning()
+	}
+	sim.RunUntil(sim.Now().Add(4 * time.Second))
+	for range waitingPhases {
+		sim.phase()
+	}
+	over = true
+	sim.cancelLongRunning()
+	for range minRunners {
+		sim.addRunner("s")
+	}
+	sim.RunUntil(sim.Now().Add(90 * time.Second))
+	sim.checkEnds()
+	assert.Assert(t, sim.restarts > 0)
+	t.Logf("%d restarts, longest wait %s", sim.restarts, sim.longestWait)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -120,7 +120,7 @@
 guard unanswering-runner-gets-no-task pkg/scheduler/runner_state.go 's/ \&\& !s.unanswered \&\&/ \&\&/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/ends = e.owner.cell.DelayedLeases.now./_ = now/' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
-guard next-owner-waits-for-delayed-leases pkg/scheduler/cell.go 's/s.delayedLeaseEnd = end$//' pkg/scheduler TestNextOwnerWaitsForDelayedLeases
+guard next-owner-waits-for-delayed-leases pkg/scheduler/cell.go 's/s.delayedLeaseEnd = end$/_ = end/' pkg/scheduler TestNextOwnerWaitsForDelayedLeases
 guard expired-runners-are-remembered pkg/scheduler/cell.go 's/ \&\& now.Sub\(s.leaseEnd\) > maxCallDelay//' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
 guard lease-counts-from-first-attempt pkg/controller/owner.go 's/w.sentAt = w.firstSentAt//' pkg/controller TestLeaseOfResentWriteCountsFromFirstAttempt
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
