--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -132,43 +132,6 @@
 	return c.cfg.Epoch
 }
 
-// EpochRaiseDue reports whether the owner must raise its epoch, with its next
-// write, so that runners reject delayed calls of the present one.
-func (c *Cell) EpochRaiseDue() bool {
-	return c.requiredEpoch > c.cfg.Epoch
-}
-
-// SetEpoch records a higher epoch under which the cell is owned.
-func (c *Cell) SetEpoch(epoch uint64) {
-	if epoch == c.cfg.Epoch {
-		return
-	}
-	c.cfg.Epoch = epoch
-	c.cfg.LogEvent("epoch raised")
-	for _, s := range c.runners {
-		if s.fenceEpoch > 0 {
-			s.needsSync()
-		}
-	}
-}
-
-// DelayedLeases returns when the last lease expires that a delayed call for an
-// earlier incarnation can have granted a runner, by the runner's id.
-func (c *Cell) DelayedLeases(now time.Time) map[string]time.Time {
-	ends := map[string]time.Time{}
-	for id, end := range c.cfg.DelayedLeases {
-		if end.After(now) {
-			ends[id] = end
-		}
-	}
-	for key, s := range c.runners {
-		if s.delayedLeaseEnd.After(now) {
-			ends[key.ID] = maxTime(ends[key.ID], s.delayedLeaseEnd)
-		}
-	}
-	return ends
-}
-
 // SetQueues replaces the queue configuration unless q is nil or older than the
 // current version.
 func (c *Cell) SetQueues(q *Queues) {
@@ -388,43 +351,3 @@
 		c.place(now)
 	}
 }
-
-func (c *Cell) expireLeases(now time.Time) {
-	for _, s := range c.runners {
-		if !now.After(s.leaseEnd) || !now.After(s.delayedLeaseEnd) {
-			continue
-		}
-		c.loseExpiredRuns(now, s)
-		// Until then, a delayed call may reach an incarnation that starts under
-		// the same id.
-		if s.agent == "" && len(s.tasks) == 0 && now.Sub(s.leaseEnd) > maxCallDelay {
-			c.removeRunner(s)
-		}
-	}
-}
-
-// loseExpiredRuns releases the tasks of a runner whose lease has expired. A start
-// that the runner has not listed may have reached a later incarnation under the
-// same id, by whose clock its lease is the longest that a runner grants.
-func (c *Cell) loseExpiredRuns(now time.Time, s *runnerState) {
-	unlistedEnd := s.listedAt.Add(listingTTL + maxCallTime + MaxLease(c.cfg.LongestLease))
-	for _, t := range s.placed() {
-		if !t.startSent || t.listed || now.After(unlistedEnd) {
-			c.loseRun(t, "lease expired")
-		}
-	}
-}
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -104,3 +104,37 @@
 		return refusedReserved
 	}
 }
+
+// refusal returns why no task may be placed on the runner now, or accepted.
+func (s *runnerState) refusal(now time.Time) refusal {
+	if reason := s.unavailability(now); reason != accepted {
+		return reason
+	}
+	if s.quarantined(now) {
+		return s.quarantineRefusal(now)
+	}
+	return accepted
+}
+
+// unavailability returns why the runner can start no runs now, or accepted.
+func (s *runnerState) unavailability(now time.Time) refusal {
+	switch {
+	case !s.reported || s.agent == "":
+		return refusedNoLink
+	case s.unanswered:
+		return refusedUnanswered
+	case now.Sub(s.listedAt) > listingTTL:
+		return refusedNoListing
+	case s.info.Draining || s.info.Left:
+		return refusedDraining
+	case s.startRefusals.backingOff(now):
+		return refusedBackoff
+	default:
+		return accepted
+	}
+}
+
+// available reports whether the runner can start runs now.
+func (s *runnerState) available(now time.Time) bool {
+	return s.unavailability(now) == accepted
+}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -107,12 +107,6 @@
 	}
 }
 
-// limitLeases records that no lease of the runner lasts beyond end.
-func (s *runnerState) limitLeases(end time.Time) {
-	s.leaseEnd = minTime(s.leaseEnd, end)
-	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, end)
-}
-
 // supersede replaces an earlier incarnation of a runner that restarted with the
 // same id. Delayed start requests for the earlier incarnation may still reach
 // the new one, so recent and unlisted runs are stopped there before they start
@@ -141,18 +135,6 @@
 	c.removeRunner(old)
 }
 
-// recordFence records that a runner rejects delayed calls for an earlier
-// incarnation once it has listed its runs under a higher epoch. What they
-// granted before expires a longest lease later.
-func (c *Cell) recordFence(now time.Time, s *runnerState, r framer.Report) {
-	if s.fenceEpoch == 0 || !r.Listed || r.ListedEpoch < s.fenceEpoch {
-		return
-	}
-	s.fenceEpoch = 0
-	listedAt := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
-	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, listedAt.Add(MaxLease(c.cfg.LongestLease)))
-}
-
 // loseRuns releases all tasks of a runner that provably runs none of them.
 func (c *Cell) loseRuns(s *runnerState, why string) {
 	for _, t := range s.placed() {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -16,23 +16,6 @@
 	// listingJitter is how much the computed time of one listing may vary
 	// between the reports that carry it.
 	listingJitter = 30 * time.Millisecond
-	// leaseDriftPercent allows for a runner's clock that is up to 2 % slow, and
-	// leaseMargin for a kill that takes effect late.
-	leaseDriftPercent = 3
-	leaseMargin       = 300 * time.Millisecond
-	// maxCallTime is the longest time from when an agent sends a start until the
-	// runner carries it out, unless the call is delayed.
-	maxCallTime = 500 * time.Millisecond
-	// maxCallDelay is how long an unanswered call may take to be executed.
-	maxCallDelay = 12 * time.Second
-	// leaveMargin is how long a runner may continue after it reported that it
-	// left.
-	leaveMargin = time.Second
-	// quarantineThreshold is the number of different jobs that must fail in a
-	// row before a runner is quarantined.
-	quarantineThreshold = 2
-	minQuarantine       = 4 * time.Second
-	maxQuarantine       = time.Minute
 	// latencyCriticalLoadPercent is the share of its requested processors that
 	// a latency-critical task is assumed to use, in percent. It is low, since a
 	// task that uses more only slows the best-effort tasks beside it, while
@@ -278,94 +261,6 @@
 	return s.free().ProcessorMillis + unused - s.bestEffortMillis
 }
 
-// refusal returns why no task may be placed on the runner now, or accepted.
-func (s *runnerState) refusal(now time.Time) refusal {
-	if reason := s.unavailability(now); reason != accepted {
-		return reason
-	}
-	if s.quarantined(now) {
-		return s.quarantineRefusal(now)
-	}
-	return accepted
-}
-
-// unavailability returns why the runner can start no runs now, or accepted.
-func (s *runnerState) unavailability(now time.Time) refusal {
-	switch {
-	case !s.reported || s.agent == "":
-		return refusedNoLink
-	case s.unanswered:
-		return refusedUnanswered
-	case now.Sub(s.listedAt) > listingTTL:
-		return refusedNoListing
-	case s.info.Draining || s.info.Left:
-		return refusedDraining
-	case s.startRefusals.backingOff(now):
-		return refusedBackoff
-	default:
-		return accepted
-	}
-}
-
-// available reports whether the runner can start runs now.
-func (s *runnerState) available(now time.Time) bool {
-	return s.unavailability(now) == accepted
-}
-
-// quarantined reports whether other runners are to be used instead. After its
-// quarantine, a runner gets one task at a time until one succeeds.
-func (s *runnerState) quarantined(now time.Time) bool {
-	if len(s.failedJobs) < quarantineThreshold && !s.stalled {
-		return false
-	}
-	return !now.After(s.quarantinedUntil) || s.finiteTasks() > 0
-}
-
-// finiteTasks counts the tasks that finish by themselves.
-func (s *runnerState) finiteTasks() int {
-	n := 0
-	for t := range s.tasks {
-		if !t.spec().LongRunning {
-			n++
-		}
-	}
-	return n
-}
-
-// recordFailure counts a failed run, and reports whether the runner is newly
-// quarantined. Several failures of one job count once.
-func (s *runnerState) recordFailure(now time.Time, job string) bool {
-	if !slices.Contains(s.failedJobs, job) {
-		s.failedJobs = append(s.failedJobs, job)
-	}
-	return len(s.failedJobs) >= quarantineThreshold && s.startQuarantine(now)
-}
-
-// startQuarantine keeps tasks off the runner while others can hold them, each
-// time for twice as long, up to maxQuarantine. It reports whether a quarantine
-// was started; one in force is not extended.
-func (s *runnerState) startQuarantine(now time.Time) bool {
-	if now.Before(s.quarantinedUntil) {
-		return false
-	}
-	s.quarantine = min(maxQuarantine, max(minQuarantine, 2*s.quarantine))
-	s.quarantinedUntil = now.Add(s.quarantine)
-	return true
-}
-
-// removeFailure removes a job from the runner's failures, because the job
-// itself is at fault.
-func (s *runnerState) removeFailure(job string) {
-	s.failedJobs = slices.DeleteFunc(s.failedJobs, func(id string) bool { return id == job })
-}
-
-func (s *runnerState) recordSuccess() {
-	s.failedJobs = nil
-	s.stalled = false
-	s.quarantine = 0
-	s.quarantinedUntil = time.Time{}
-}
-
 // recordFinished records that a finished run was processed, and the change that
 // must be committed before it is acknowledged.
 func (s *runnerState) recordFinished(sequence int64, change uint64, j *job) {
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -66,28 +66,6 @@
 	)
 }
 
-// renewalDue reports whether the runner's lease must be renewed. Unless the runner
-// left, that is always so if the last sync could not grant it.
-func (c *Cell) renewalDue(now time.Time, s *runnerState) bool {
-	return !s.info.Left && now.Sub(s.leaseSentAt) >= c.cfg.Lease/leaseRenewals
-}
-
-// maxLease returns how long a lease may last by this process's clock.
-func (c *Cell) maxLease() time.Duration {
-	return MaxLease(c.cfg.Lease)
-}
-
-// MaxLease returns how long a lease on a runner may last by the clock of another
-// instance.
-func MaxLease(lease time.Duration) time.Duration {
-	return lease + lease*leaseDriftPercent/100 + leaseMargin
-}
-
-// LeaseWithin returns the longest lease whose MaxLease is at most d.
-func LeaseWithin(d time.Duration) time.Duration {
-	return (d - leaseMargin) * 100 / (100 + leaseDriftPercent)
-}
-
 // sharing returns what an agent needs to throttle best-effort runs. ok is false
 // unless the runner has both kinds of tasks and the task is of one of them.
 func (c *Cell) sharing(s *runnerState, t *task) (sharing framer.Sharing, ok bool) {
