Grant leases in one place

cause: scripts/red-first.sh: left-runner-gets-no-lease survived after renewalDue had moved to another file: either of two conditions prevents the lease, and the guard took out one. change: what decides on a lease stands in leases.go. No change of logic. after: the guard is red; go test ./pkg/scheduler passes.

--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -114,6 +114,20 @@
 	return (d - leaseMargin) * 100 / (100 + leaseDriftPercent)
 }
 
+// mayBeGranted reports whether the runner can be granted a lease: its clock is known,
+// and it has not left.
+func (s *runnerState) mayBeGranted() bool {
+	return s.clockMillis > 0 && !s.info.Left
+}
+
+// grantLease grants a runner a lease and returns its end by the runner's clock, in
+// milliseconds.
+func (c *Cell) grantLease(now time.Time, s *runnerState) int64 {
+	s.leaseEnd = maxTime(s.leaseEnd, s.clockAt.Add(c.maxLease()))
+	s.leaseSentAt = now
+	return s.clockMillis + c.cfg.Lease.Milliseconds()
+}
+
 // renewalDue reports whether the runner's lease must be renewed. Unless the runner
 // left, that is always so if the last sync could not grant it.
 func (c *Cell) renewalDue(now time.Time, s *runnerState) bool {
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -24,10 +24,8 @@
 	s.leaseSentAt = time.Time{}
 	sync.Runner = s.key
 	sync.AckedSequence = s.ackedSequence
-	if granting && s.clockMillis > 0 && !s.info.Left {
-		sync.LeaseUntilMillis = s.clockMillis + c.cfg.Lease.Milliseconds()
-		s.leaseEnd = maxTime(s.leaseEnd, s.clockAt.Add(c.maxLease()))
-		s.leaseSentAt = now
+	if granting && s.mayBeGranted() {
+		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
 	for t := range s.tasks {
 		switch {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -151,7 +151,7 @@
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
 guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
-guard left-runner-gets-no-lease pkg/scheduler/sync.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
+guard left-runner-gets-no-lease pkg/scheduler/leases.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
 guard refusing-runner-gets-a-rest pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add\(now\)/false/' pkg/scheduler TestRefusedStartsGoElsewhere
 guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add/s.startRefusals.add/' pkg/scheduler TestRefusedStartsGoElsewhere
