--- a/pkg/scheduler/restart_bound_test.go
+++ b/pkg/scheduler/restart_bound_test.go
@@ -96,3 +96,22 @@
 	h.advance(restartBound)
 	assert.DeepEqual(t, h.acceptStarts("y"), []framer.RunRef{runRef("j.0.0.0", 2)})
 }
+
+// The same, if the runner is lost before it has listed its runs under the higher
+// epoch.
+func TestTaskOfRunnerThatIsLostBeforeItIsFenced(t *testing.T) {
+	h := newCellHarness(t, "x", "y")
+	h.runners["y"].Runner.Draining = true
+	h.report("y")
+	h.runners["x"].Runner.Key.StartedAtMillis = 2000
+	h.report("x")
+	h.add("j", "checks", newLongRunningStep(500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("x")), 1)
+	h.runners["y"].Runner.Draining = false
+	h.report("y")
+	delete(h.runners, "x")
+	h.cell.AgentDisconnected("x")
+	h.advance(restartBound)
+	assert.DeepEqual(t, h.acceptStarts("y"), []framer.RunRef{runRef("j.0.0.0", 2)})
+}
