--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -100,6 +100,8 @@
 	NeverStarted int64 `json:"never-started"`
 	Preempted    int64 `json:"preempted"`
 	JobsEnded    int64 `json:"jobs-ended"`
+	// Crashes counts the runners that crashed with runs on them.
+	Crashes int64 `json:"crashes"`
 }
 
 // NewCell returns a cell without jobs or runners.
