RED: a task that crashes each runner is started without end

It checks that such a task is started fewer than three times after three crashes, that its job fails after two crashes at the earliest, and that all other jobs are completed.

--- a/pkg/experimenter/steps_checks_test.go
+++ b/pkg/experimenter/steps_checks_test.go
@@ -71,6 +71,7 @@
 	if !publisher.Within(sim.allocated[r], capacity(a)) {
 		sim.fatalf(ref.Task, "%v has %v of %v allocated", r.Key, sim.allocated[r], capacity(a))
 	}
+	sim.crashingStarted(a, r, ref)
 }
 
 func (sim *stepsSimulation) runFinished(r *emulator.StepRunner, e framer.FinishedRun) {
--- /dev/null
+++ b/pkg/experimenter/steps_crashing_test.go
@@ -0,0 +1,191 @@
+package experimenter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/emulator"
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
+)
+
+const (
+	// crashDelay is how long after its start a crashing task crashes its runner.
+	crashDelay = 10 * time.Millisecond
+	// minDowntime and maxDowntime bound how long a crashed runner is away.
+	minDowntime = 3 * time.Second
+	maxDowntime = 3500 * time.Millisecond
+	// toleratedCrashes is the number of crashes after which a crashing task may be
+	// started fewer than toleratedStarts times. A task may be given up from
+	// minCrashes on.
+	toleratedCrashes = 3
+	toleratedStarts  = 3
+	minCrashes       = 2
+)
+
+// crashes records the crashes of runners.
+type crashes struct {
+	// crashing reports whether a task crashes each runner that starts it; nil if
+	// none does.
+	crashing func(task string) bool
+	// under counts the crashes of runners under each task, and startsAfter the
+	// starts of each task after toleratedCrashes of them.
+	under       map[string]int
+	startsAfter map[string]int
+	total       int
+}
+
+// crashingStarted records the start of a task that crashes its runner.
+func (sim *stepsSimulation) crashingStarted(a *stepsAgent, r *emulator.StepRunner, ref framer.RunRef) {
+	if sim.crashes.crashing == nil || !sim.crashes.crashing(ref.Task) {
+		return
+	}
+	if sim.crashes.under[ref.Task] >= toleratedCrashes {
+		sim.crashes.startsAfter[ref.Task]++
+		if sim.crashes.startsAfter[ref.Task] >= toleratedStarts {
+			sim.fatalf(ref.Task, "%s starts for the third time after %d runners crashed under it", ref.Task, toleratedCrashes)
+		}
+	}
+	sim.After(crashDelay, func() {
+		if a.runner == r && sim.runningOn[ref.Task] == r {
+			sim.crashRunner(a)
+		}
+	})
+}
+
+// crashRunner crashes an agent's runner, which is back some seconds later, with
+// another id every second time.
+func (sim *stepsSimulation) crashRunner(a *stepsAgent) {
+	if a.runnerUnreachable || a.lost {
+		return
+	}
+	sim.logf("simulation: runner %v crashes", a.runner.Key)
+	for task, on := range sim.runningOn {
+		if on == a.runner {
+			sim.crashes.under[task]++
+		}
+	}
+	sim.crashes.total++
+	a.runnerUnreachable = true
+	sim.replaceRunner(a)
+	if sim.rnd.IntN(2) == 0 {
+		a.runner.Key.ID = fmt.Sprintf("runner-%d-of-%s", sim.crashes.total, a.name)
+	}
+	sim.After(minDowntime+time.Duration(sim.rnd.Int64N(int64(maxDowntime-minDowntime))), func() { a.runnerUnreachable = false })
+}
+
+// TestTasksThatCrashTheirRunnersAreGivenUp guards against tasks that crash runner
+// after runner without end, and against sound tasks given up in their place.
+func TestTasksThatCrashTheirRunnersAreGivenUp(t *testing.T) {
+	for _, seed := range seeds(8) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			sim := newCrashSimulation(t, seed)
+			sim.crashes.crashing = func(task string) bool { return jobNumber(task)%8 == 3 && lastTaskOfFirstStep(sim, task) }
+			sim.playCrashes(func() {})
+			assert.Assert(t, sim.crashes.total > 20)
+		})
+	}
+}
+
+// TestSoundTasksSurviveCrashesOfTheirRunners guards against sound tasks given up
+// because their runners crash again and again for other reasons.
+func TestSoundTasksSurviveCrashesOfTheirRunners(t *testing.T) {
+	for _, seed := range seeds(8) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			sim := newCrashSimulation(t, seed)
+			sim.playCrashes(func() {
+				for _, a := range sim.agents[:2+sim.rnd.IntN(3)] {
+					sim.crashRunner(a)
+				}
+			})
+			assert.Assert(t, sim.crashes.total > 20)
+		})
+	}
+}
+
+func newCrashSimulation(t *testing.T, seed uint64) *stepsSimulation {
+	const agents = 10
+	sim := newStepsSimulation(t, seed, stepsLease, agents)
+	for _, a := range sim.agents {
+		a.info.Address = a.name
+	}
+	sim.runTime = func(*stepsAgent, framer.RunRef) (time.Duration, framer.FinishReason) {
+		return time.Duration(200+sim.rnd.IntN(2000)) * time.Millisecond, framer.FinishDone
+	}
+	return sim
+}
+
+// playCrashes submits jobs for a minute, replaces the owner now and then, and
+// checks in the end that exactly the jobs with crashing tasks failed.
+func (sim *stepsSimulation) playCrashes(disrupt func()) {
+	until := sim.Now().Add(time.Minute)
+	n := 0
+	sim.Every(300*time.Millisecond, func() bool {
+		n++
+		sim.submit(n)
+		return sim.Now().Before(until)
+	})
+	sim.Every(9*time.Second, func() bool {
+		sim.replaceOwner(time.Duration(sim.rnd.IntN(2000)) * time.Millisecond)
+		return sim.Now().Before(until)
+	})
+	sim.Every(5*time.Second, func() bool {
+		disrupt()
+		return sim.Now().Before(until)
+	})
+	sim.RunUntil(until.Add(time.Minute))
+	for id := range sim.specs {
+		sim.checkOutcome(id)
+	}
+}
+
+// checkOutcome checks the final state of a job that may contain a crashing task.
+func (sim *stepsSimulation) checkOutcome(id string) {
+	state := sim.progress[id].State
+	_, cancelled := sim.cancelled[id]
+	culprit := sim.crashingTask(id)
+	switch {
+	case !state.Final():
+		sim.fatalf(id+".", "%s is %s at the end", id, state)
+	case cancelled:
+	case culprit == "" && state != scheduler.StateCompleted:
+		sim.fatalf(id+".", "%s is %s, and none of its tasks crashes runners", id, state)
+	case culprit != "" && state != scheduler.StateFailed:
+		sim.fatalf(id+".", "%s is %s, and %s crashes runners", id, state, culprit)
+	case culprit != "" && sim.crashes.under[culprit] < minCrashes:
+		sim.fatalf(id+".", "%s was given up after %d crashes", culprit, sim.crashes.under[culprit])
+	}
+}
+
+// crashingTask returns the name of the crashing task of a job, or nothing.
+func (sim *stepsSimulation) crashingTask(id string) string {
+	if sim.crashes.crashing == nil {
+		return ""
+	}
+	task := fmt.Sprintf("%s.0.0.%d", id, sim.specs[id].Steps[0].Count-1)
+	if !sim.crashes.crashing(task) {
+		return ""
+	}
+	return task
+}
+
+// jobNumber returns the number of the job of a task.
+func jobNumber(task string) int {
+	n := 0
+	// A name without a number has none.
+	_, _ = fmt.Sscanf(task, "job%d.", &n)
+	return n
+}
+
+// lastTaskOfFirstStep reports whether a task is the last one of its job's first
+// step.
+func lastTaskOfFirstStep(sim *stepsSimulation, task string) bool {
+	var job, step, index int
+	if _, err := fmt.Sscanf(task, "job%d.0.%d.%d", &job, &step, &index); err != nil {
+		return false
+	}
+	return step == 0 && index == sim.specs[fmt.Sprintf("job%d", job)].Steps[0].Count-1
+}
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -65,6 +65,7 @@
 	acknowledgedDone map[string]bool
 	allocated        map[*emulator.StepRunner]publisher.Resources
 	endedAt          map[string]time.Time
+	crashes          crashes
 	// runTime returns the duration of a run on an agent's runner and the reason
 	// with which it finishes.
 	runTime func(a *stepsAgent, ref framer.RunRef) (time.Duration, framer.FinishReason)
@@ -86,6 +87,10 @@
 		acknowledgedDone: map[string]bool{},
 		allocated:        map[*emulator.StepRunner]publisher.Resources{},
 		endedAt:          map[string]time.Time{},
+		crashes: crashes{
+			under:       map[string]int{},
+			startsAfter: map[string]int{},
+		},
 	}
 	sim.runTime = sim.randomRunTime
 	sim.queues = &scheduler.Queues{
