Count crashes of runners that are back after their lease only

cause: a crash was counted when another incarnation took the runner's place, while its tasks were still placed on it. If the runner is away for longer than its lease, they had been released before, and nothing was counted: a task at fault went on without end. The platform does not say how long a crashed runner is away. ruled out: to keep the evidence until the crash is proved. A runner that is cut off and never comes back counts as one that crashed.

--- a/pkg/experimenter/steps_crashing_test.go
+++ b/pkg/experimenter/steps_crashing_test.go
@@ -16,9 +16,9 @@
 const (
 	// crashDelay is how long after its start a crashing task crashes its runner.
 	crashDelay = 10 * time.Millisecond
-	// minDowntime and maxDowntime bound how long a crashed runner is away.
-	minDowntime = 3 * time.Second
-	maxDowntime = 3500 * time.Millisecond
+	// downtimeSpread bounds by how much a crashed runner is away for longer than its
+	// shortest downtime.
+	downtimeSpread = 500 * time.Millisecond
 	// toleratedCrashes is the number of crashes after which a crashing task may be
 	// started fewer than toleratedStarts times. A task may be given up from
 	// minCrashes on.
@@ -37,6 +37,8 @@
 	// crashing reports whether a task crashes each runner that starts it; nil if
 	// none does.
 	crashing func(task string) bool
+	// downtime is the shortest time for which a crashed runner is away.
+	downtime time.Duration
 	// under counts the crashes of runners under each task, and startsAfter the
 	// starts of each task after toleratedCrashes of them.
 	under       map[string]int
@@ -83,7 +85,7 @@
 	if sim.rnd.IntN(2) == 0 {
 		a.runner.Key.ID = fmt.Sprintf("runner-%d-of-%s", sim.crashes.total, a.name)
 	}
-	sim.After(minDowntime+time.Duration(sim.rnd.Int64N(int64(maxDowntime-minDowntime))), func() {
+	sim.After(sim.crashes.downtime+time.Duration(sim.rnd.Int64N(int64(downtimeSpread))), func() {
 		a.runnerUnreachable = false
 		a.crashed = false
 	})
@@ -102,6 +104,20 @@
 	}
 }
 
+// TestTasksThatCrashRunnersForLongAreGivenUp guards against crashes that are not counted
+// because the lease of the runner expires before it is back.
+func TestTasksThatCrashRunnersForLongAreGivenUp(t *testing.T) {
+	for _, seed := range seeds(8) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			sim := newCrashSimulation(t, seed)
+			sim.crashes.downtime = time.Duration(6+seed%5) * time.Second
+			sim.crashes.crashing = func(task string) bool { return jobNumber(task)%24 == 3 && lastTaskOfFirstStep(sim, task) }
+			sim.playCrashes(func() {})
+			assert.Assert(t, sim.crashes.total > 10)
+		})
+	}
+}
+
 // TestSoundTasksSurviveCrashesOfTheirRunners guards against sound tasks given up
 // because their runners crash again and again for other reasons.
 func TestSoundTasksSurviveCrashesOfTheirRunners(t *testing.T) {
@@ -124,6 +140,7 @@
 	for _, a := range sim.agents {
 		a.info.Address = a.name
 	}
+	sim.crashes.downtime = 3 * time.Second
 	sim.runTime = func(*stepsAgent, framer.RunRef) (time.Duration, framer.FinishReason) {
 		return time.Duration(200+sim.rnd.IntN(2000)) * time.Millisecond, framer.FinishDone
 	}
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -61,21 +61,22 @@
 // recordCrash records that a runner was replaced by a later incarnation, or by
 // another runner at its address, although it had not announced its end.
 func (c *Cell) recordCrash(now time.Time, s *runnerState) {
-	if s.info.Draining || s.info.Left || len(s.tasks) == 0 {
+	s.lapses = nil
+	if s.info.Draining || s.info.Left {
+		return
+	}
+	// A run that is stopped in a later incarnation was counted with the first one.
+	runs := slices.DeleteFunc(s.placed(), func(t *task) bool { return !t.startSent || t.crashedRun == t.run })
+	if len(runs) == 0 {
 		return
 	}
 	unproven := s.unproven()
 	c.Counts.Crashes++
-	c.cfg.LogEvent("runner crashed", "runner", s.key.ID, "born-millis", s.key.StartedAtMillis, "tasks", len(s.tasks),
+	c.cfg.LogEvent("runner crashed", "runner", s.key.ID, "born-millis", s.key.StartedAtMillis, "runs", len(runs),
 		"unproven", unproven, "known", s.reported)
 	var next *task
-	for _, t := range s.placed() {
-		// A run that is stopped in a later incarnation was counted with the first one.
-		if t.runner != s || !t.startSent || t.crashedRun == t.run {
-			continue
-		}
-		t.crashedRun = t.run
-		c.blame(now, t, s.reported && !t.survivedStart(), unproven == 1)
+	for _, t := range runs {
+		c.blame(now, t, unproven == 1)
 		if t.record.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
 			next = t
 		}
@@ -85,37 +86,82 @@
 	}
 }
 
-// unproven counts the runs of a runner that may have started and have not survived
-// their start.
+// lapse is a run that ended with the lease of its runner, and what that added to the
+// record of its task.
+type lapse struct {
+	task  *task
+	added crashRecord
+}
+
+// recordLapse counts the end of a runner's lease as a crash, until the runner turns out
+// to live: it may be back too late for the crash to be counted before the next start.
+func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
+	unproven := s.unproven()
+	for _, t := range lost {
+		if t.startSent && t.crashedRun != t.run {
+			before := t.record
+			c.blame(now, t, unproven == 1)
+			s.lapses = append(s.lapses, lapse{
+				task: t,
+				added: crashRecord{
+					crashes:   t.record.crashes - before.crashes,
+					suspicion: t.record.suspicion - before.suspicion,
+				},
+			})
+		}
+	}
+}
+
+// refuteLapses withdraws what the end of the runner's lease added, since the runner has
+// listed its runs after that.
+func (c *Cell) refuteLapses(s *runnerState) {
+	for _, l := range s.lapses {
+		r := &l.task.record
+		r.crashes = max(0, r.crashes-l.added.crashes)
+		r.suspicion = max(0, r.suspicion-l.added.suspicion)
+		c.markChanged(l.task.job)
+	}
+	s.lapses = nil
+}
+
+// mayCrashByStart reports whether the task's run may have started and has not survived
+// its start.
+func (t *task) mayCrashByStart() bool {
+	return t.startSent && !t.survivedStart()
+}
+
+// unproven counts the runs of a runner that may crash it by their start.
 func (s *runnerState) unproven() int {
 	n := 0
 	for t := range s.tasks {
-		if t.startSent && !t.survivedStart() {
+		if t.mayCrashByStart() {
 			n++
 		}
 	}
 	return n
 }
 
-// blame counts a crash against a task, and gives the task up if enough speaks for
-// that it crashes its runners. byStart is set if its start may have caused the crash,
-// alone if no other start may have.
-func (c *Cell) blame(now time.Time, t *task, byStart, alone bool) {
-	address := t.runner.info.Address
-	again := address != "" && slices.Contains(t.crashedAt, address)
+// blame counts the crash of its runner against a task, and gives the task up if enough
+// speaks for that it crashes its runners. alone is set if no other start may have caused
+// this crash.
+func (c *Cell) blame(now time.Time, t *task, alone bool) {
+	s := t.runner
+	again := s.info.Address != "" && slices.Contains(t.crashedAt, s.info.Address)
 	if !again {
-		t.crashedAt = append(t.crashedAt, address)
+		t.crashedAt = append(t.crashedAt, s.info.Address)
 	}
 	switch {
-	case byStart && (again || !t.confirmed):
+	case !s.reported || !t.mayCrashByStart():
+	case again || !t.confirmed:
 		t.record.suspicion += doubtfulSuspicion
-	case byStart && alone && t.record.suspect():
+	case alone && t.record.suspect():
 		t.record.suspicion += soleSuspicion
-	case byStart:
+	default:
 		t.record.suspicion += sharedSuspicion
 	}
 	t.record.crashes++
-	if t.record.suspect() && len(t.runner.tasks) > 1 {
+	t.crashedRun = t.run
+	if t.record.suspect() && len(s.tasks) > 1 {
 		t.notBefore = now.Add(suspectDelay)
 	}
 	c.markChanged(t.job)
@@ -123,7 +169,7 @@
 		return
 	}
 	c.Counts.GivenUp++
-	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "runner", t.runner.key.ID,
+	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "runner", s.key.ID,
 		"crashes", t.record.crashes, "suspicion", t.record.suspicion)
 	c.endJob(now, t.job, StateFailed)
 }
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -213,3 +213,38 @@
 	assert.Equal(t, h.cell.Counts.GivenUp, int64(1))
 	assert.Assert(t, h.cell.Counts.Crashes <= 3)
 }
+
+// A crash must be counted although the runner is back only after its lease, and the end
+// of a lease must not be taken for a crash if the runner was merely cut off.
+func TestEndOfLeaseCountsAsCrashUntilRefuted(t *testing.T) {
+	silence := func(t *testing.T) (h *crashHarness, agent string, r *framer.Report) {
+		h = newCrashHarness(t, 3)
+		h.add("j", "checks", newStep(1, 500))
+		agent = h.start("j.0.0.0")
+		r = h.runners[agent]
+		delete(h.runners, agent)
+		h.cell.AgentDisconnected(agent)
+		h.advance(MaxLease(testLease) + time.Second)
+		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{
+			crashes:   1,
+			suspicion: sharedSuspicion,
+		})
+		return h, agent, r
+	}
+	t.Run("the runner is replaced", func(t *testing.T) {
+		h, agent, r := silence(t)
+		h.runners[agent] = r
+		h.crash(agent)
+		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{
+			crashes:   1,
+			suspicion: sharedSuspicion,
+		}, "it is counted once")
+	})
+	t.Run("the runner is back", func(t *testing.T) {
+		h, agent, r := silence(t)
+		h.runners[agent] = r
+		r.Running = nil
+		h.report(agent)
+		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{})
+	})
+}
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
@@ -40,8 +41,12 @@
 // same id, by whose clock its lease is the longest that a runner grants.
 func (c *Cell) loseExpiredRuns(now time.Time, s *runnerState) {
 	unlistedEnd := s.listedAt.Add(listingTTL + maxCallTime + MaxLease(c.cfg.LongestLease))
-	for _, t := range s.placed() {
-		if !t.startSent || t.listed || now.After(unlistedEnd) {
+	lost := slices.DeleteFunc(s.placed(), func(t *task) bool {
+		return t.startSent && !t.listed && !now.After(unlistedEnd)
+	})
+	c.recordLapse(now, s, lost)
+	for _, t := range lost {
+		if t.runner == s {
 			c.loseRun(t, "lease expired")
 		}
 	}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -36,6 +36,7 @@
 		c.recordRunning(now, s, status)
 	}
 	if listed {
+		c.refuteLapses(s)
 		c.updateModels(now, s, r.Running)
 		c.detectStall(now, s, r.Running)
 	}
