--- a/pkg/dispatcher/attempt.go
+++ b/pkg/dispatcher/attempt.go
@@ -179,13 +179,14 @@
 }
 
 // handleLostAttempt ends an attempt that gave no usable answer but may have run.
-// The request is retried if it is idempotent and time and the retry budget allow
-// it; otherwise its outcome is unknown.
+// The request is retried if it is idempotent and its lost attempts, time and the
+// retry budget allow it; otherwise its outcome is unknown.
 func (d *Dispatcher) handleLostAttempt(now time.Time, s *service, q *request, reason framer.Reason) {
 	s.queue.FinishAttempt(q.Kind)
 	q.mayHaveRun = true
+	q.lostAttempts++
 	switch {
-	case !q.Idempotent || !d.hasTimeForRetry(now, q):
+	case !q.Idempotent || q.lostAttempts >= maxLostAttempts || !d.hasTimeForRetry(now, q):
 		d.finish(q, unknown(reason))
 	case !s.budget.Spend():
 		d.finish(q, unknown(framer.ReasonRetryBudget))
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -24,6 +24,9 @@
 	fenceTimeout = 400 * time.Millisecond
 	// fenceMargin is how long after the deadline a gate must retain a fence.
 	fenceMargin = 5 * time.Second
+	// maxLostAttempts is the number of lost attempts after which a request is not
+	// retried: it may be what ends its endpoints.
+	maxLostAttempts = 3
 	// initialBackoff and maxBackoff bound the backoff between attempts.
 	initialBackoff = 5 * time.Millisecond
 	maxBackoff     = 500 * time.Millisecond
--- a/pkg/dispatcher/request.go
+++ b/pkg/dispatcher/request.go
@@ -77,6 +77,8 @@
 	sentAt      time.Time
 	// mayHaveRun is set once an attempt that may have started was abandoned.
 	mayHaveRun bool
+	// lostAttempts counts the attempts that may have run and gave no answer.
+	lostAttempts int
 	// claimed is set if a claim for the request may have taken effect.
 	claimed bool
 	backoff time.Duration
