Give up placer tasks whose workers are lost again and again

A start that fails counts towards the limit of a task, one that is lost with its worker did not: a task that ends each worker that starts it was placed on the next one without end. change: a task counts the workers in a row that were lost or replaced under it, in its row, and fails at five; a start that has run for 10 s resets the count.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -14,6 +14,9 @@
 const (
 	// maxFailures is the number of failed starts after which a task fails.
 	maxFailures = 3
+	// maxCrashes is the number of workers in a row that may be lost under a task,
+	// with none of its starts running for trialDuration, until the task fails.
+	maxCrashes = 5
 	// clockMargin allows for clocks that run at different rates.
 	clockMargin = 500 * time.Millisecond
 	// maxFailedPlacements bounds the number of dissimilar tasks that one pass over
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -44,6 +44,7 @@
 	e.Start++
 	e.sent = false
 	e.confirmed = false
+	e.runsSince = time.Time{}
 	e.unlistedSince = time.Time{}
 	e.withdrawn = false
 	e.throttled = false
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -47,15 +47,14 @@
 			w.allocations.Allocate(e.Spec.ID, e.Spec.Needs)
 			continue
 		}
-		c.loseTask(e, "the worker was replaced")
+		c.loseWithWorker(e, "the worker was replaced")
 	}
 }
 
-// loseAllTasks applies loseTask to all tasks of a worker that can no longer be
-// running any of them.
+// loseAllTasks loses all tasks of a worker that can no longer be running any of them.
 func (c *Cell) loseAllTasks(w *worker, why string) {
 	for _, e := range w.placed() {
-		c.loseTask(e, why)
+		c.loseWithWorker(e, why)
 	}
 }
 
@@ -72,6 +71,19 @@
 	c.requeue(e)
 }
 
+// loseWithWorker is like loseTask, for a task whose worker was lost or replaced. The
+// task is given up if too many workers in a row were under it.
+func (c *Cell) loseWithWorker(e *trackedTask, why string) {
+	e.Crashes++
+	e.lastFailedWorker = e.Worker
+	if e.Crashes >= maxCrashes && e.State != StateCancelling {
+		c.Counts.Lost++
+		c.finish(e, triggerFail, "its workers were lost again and again: "+why)
+		return
+	}
+	c.loseTask(e, why)
+}
+
 // requeue puts a task back in the queue for its next start.
 func (c *Cell) requeue(e *trackedTask) {
 	c.fire(e, triggerReturn)
@@ -94,6 +106,7 @@
 		switch t.State {
 		case RunRunning:
 			w.recordRunning(c.now, e)
+			e.recordRunning(c.now)
 			c.handleRunning(e)
 		case RunDone:
 			w.recordSuccess()
@@ -125,6 +138,17 @@
 	}
 }
 
+// recordRunning records that the worker reports the task as running. One that has run
+// for trialDuration does not crash its workers by its start.
+func (e *trackedTask) recordRunning(now time.Time) {
+	switch {
+	case e.runsSince.IsZero():
+		e.runsSince = now
+	case now.Sub(e.runsSince) >= trialDuration:
+		e.Crashes = 0
+	}
+}
+
 func (c *Cell) handleRunning(e *trackedTask) {
 	if e.State == StatePlaced {
 		// The row only has to record that the task is placed.
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -94,6 +94,8 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// Failures counts starts that failed.
 	Failures int `json:"failures,omitempty"`
+	// Crashes counts the workers in a row that were lost under the task.
+	Crashes int `json:"crashes,omitempty"`
 	// Evictions counts starts that were evicted.
 	Evictions int `json:"evictions,omitempty"`
 	// EndedAt is when the task reached its final state.
--- a/pkg/placer/tracked_task.go
+++ b/pkg/placer/tracked_task.go
@@ -29,6 +29,8 @@
 	// the worker has reported it.
 	sent      bool
 	confirmed bool
+	// runsSince is when the worker first reported this start as running to this owner.
+	runsSince time.Time
 	// unlistedSince is the time of the first of the latest reports without this
 	// start, or zero. After maxUnlisted it is withdrawn.
 	unlistedSince time.Time
