Follow the changing capacity of a worker in the placer

The placer took the capacity of a worker's first report for good: it placed beyond what was left, and left unused what had come back. A new owner broke its invariant when it loaded what ran on a shrunk worker. A task that fits no worker for the moment would have failed for good, once the present capacity counts. change: each report sets the capacity; tasks that were placed before are adopted without a check; only a task that exceeds what its workers ever had fails as unfit. before: go test ./pkg/placer -run TestPlacementFollowsChangingCapacity: three of four cases red (placed on a shrunk worker twice, invariant commitments-within-capacity). after: passes, as do pkg/placer and pkg/overseer. conclusion: a shrink below what runs stops nothing; it only keeps further tasks off.

--- a/pkg/placer/allocations.go
+++ b/pkg/placer/allocations.go
@@ -5,11 +5,14 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
-// Allocations records the resources that are allocated on one worker. Their sum never
-// exceeds the worker's capacity, even if the worker itself would accept more.
+// Allocations records the resources that are allocated on one worker. No allocation
+// lets their sum exceed the worker's capacity, even if the worker itself would accept
+// more; the capacity may shrink below it later.
 type Allocations struct {
-	assert    *asserter.Asserter
-	capacity  publisher.Resources
+	assert   *asserter.Asserter
+	capacity publisher.Resources
+	// largest is the largest amount of each resource that the worker has had.
+	largest   publisher.Resources
 	allocated map[string]publisher.Resources
 	sum       publisher.Resources
 }
@@ -19,6 +22,7 @@
 	return &Allocations{
 		assert:    assert,
 		capacity:  capacity,
+		largest:   capacity,
 		allocated: map[string]publisher.Resources{},
 	}
 }
@@ -28,13 +32,25 @@
 	return publisher.Within(publisher.Add(a.sum, needs), a.capacity)
 }
 
-// Allocate allocates a task's needs; a task that has an allocation already keeps it.
-func (a *Allocations) Allocate(id string, needs publisher.Resources) {
+// SetCapacity records that the worker's capacity has changed.
+func (a *Allocations) SetCapacity(capacity publisher.Resources) {
+	a.capacity = capacity
+	a.largest = publisher.Max(a.largest, capacity)
+}
+
+// Adopt allocates the needs of a task that was placed before; a task that has an
+// allocation already keeps it. The worker may have shrunk since.
+func (a *Allocations) Adopt(id string, needs publisher.Resources) {
 	if _, ok := a.allocated[id]; ok {
 		return
 	}
 	a.allocated[id] = needs
 	a.sum = publisher.Add(a.sum, needs)
+}
+
+// Allocate is like Adopt, for a task that is placed now and must fit.
+func (a *Allocations) Allocate(id string, needs publisher.Resources) {
+	a.Adopt(id, needs)
 	a.assert.Check(publisher.Within(a.sum, a.capacity), "commitments-within-capacity", "task", id, "sum", a.sum, "capacity", a.capacity)
 }
 
@@ -60,6 +76,11 @@
 	return a.capacity
 }
 
+// Largest returns the largest amount of each resource that the worker has had.
+func (a *Allocations) Largest() publisher.Resources {
+	return a.largest
+}
+
 // Tasks returns the number of tasks with an allocation.
 func (a *Allocations) Tasks() int {
 	return len(a.allocated)
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -128,7 +128,7 @@
 }
 
 // unfitResource names the resource for which a task fits no worker. It returns an
-// empty string if a worker is large enough or has not reported yet.
+// empty string if a worker was large enough once or has not reported yet.
 func (c *Cell) unfitResource(needs publisher.Resources) string {
 	reason := ""
 	for _, address := range c.addresses {
@@ -136,7 +136,7 @@
 		if !w.registered {
 			return ""
 		}
-		resource := insufficientResource(needs, w.allocations.Capacity())
+		resource := insufficientResource(needs, w.allocations.Largest())
 		if resource == "" {
 			return ""
 		}
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -17,6 +17,7 @@
 	if !w.registered || w.incarnation != r.Incarnation {
 		c.registerIncarnation(w, r)
 	}
+	w.allocations.SetCapacity(r.Capacity)
 	w.reachable = true
 	w.clockMillis = r.ClockMillis
 	w.clockAt = now
@@ -44,7 +45,7 @@
 	w.failedTasks = nil
 	for _, e := range w.placed() {
 		if e.WorkerIncarnation == r.Incarnation {
-			w.allocations.Allocate(e.Spec.ID, e.Spec.Needs)
+			w.allocations.Adopt(e.Spec.ID, e.Spec.Needs)
 			continue
 		}
 		c.loseWithWorker(e, "the worker was replaced")
--- a/pkg/publisher/document.go
+++ b/pkg/publisher/document.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// Max returns the larger amount of each resource.
+func Max(a, b Resources) Resources {
+	return Resources{
+		ProcessorMillis: max(a.ProcessorMillis, b.ProcessorMillis),
+		MemoryBytes:     max(a.MemoryBytes, b.MemoryBytes),
+		Accelerators:    max(a.Accelerators, b.Accelerators),
+	}
+}
+
 // Within reports whether a is at most b in every resource.
 func Within(a, b Resources) bool {
 	return a.ProcessorMillis <= b.ProcessorMillis && a.MemoryBytes <= b.MemoryBytes && a.Accelerators <= b.Accelerators
