Start nothing that a runner has become too small for

cause: LIMIT holds under a capacity that shrinks and grows while a runner runs. A start was sent however old the choice of its runner was: after a slow write, a change of the owner, or a time in which the agent could not reach the runner. The agent sent it on a fresh listing, which does not state the capacity, and reported a changed capacity half a second late. ruled out: placement itself, which uses the last reported capacity and counts what is being stopped (new tests pass on the code before). The agent reports it at once, starts a run only with a heartbeat of the last 3 s, and after a shrink only what the owner requested 0.1 s later or more.

--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -16,6 +16,8 @@
 	runner *emulator.StepRunner
 	// info describes the runner, except for its key.
 	info framer.RunnerInfo
+	// formerCapacities are the capacities that the runner had before, oldest first.
+	formerCapacities []capacityChange
 	// incarnation counts the restarts of the agent's process; responses to an
 	// earlier incarnation are dropped.
 	incarnation       int
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -321,6 +321,7 @@
 func (s *runnerState) setInfo(info framer.RunnerInfo) {
 	if !sameInfo(s.info, info) {
 		s.index.improved(s)
+		s.needsSync()
 	}
 	s.info = info
 }
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
 // Sync returns what an agent must be sent now: the lease of its runner, the
@@ -27,6 +28,7 @@
 	if granting && s.mayBeGranted() {
 		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
+	c.withdrawStarts(s)
 	for t := range s.tasks {
 		switch {
 		case t.stopping:
@@ -58,6 +60,20 @@
 	return sync
 }
 
+// withdrawStarts withdraws the starts that a runner has not accepted yet if it has become
+// too small for what is placed on it.
+func (c *Cell) withdrawStarts(s *runnerState) {
+	if publisher.Within(s.allocated, s.capacity()) {
+		return
+	}
+	for _, t := range s.placed() {
+		if !t.confirmed && !t.stopping {
+			c.cfg.LogEvent("start withdrawn", "task", t.name(), "run", t.run, "runner", s.key.ID, "free-millis", s.free().ProcessorMillis)
+			c.stop(t)
+		}
+	}
+}
+
 func compareRefs(a, b framer.RunRef) int {
 	return cmp.Or(
 		cmp.Compare(a.Task, b.Task),
--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -41,6 +41,8 @@
 	// receivedAt is when the owner first requested the command, or when the
 	// incarnation was first seen that a fence is for.
 	receivedAt time.Time
+	// requestedAt is when the owner last requested the start.
+	requestedAt time.Time
 	// startSentAt is when a start of the run was last requested, or may have been
 	// by an earlier agent.
 	startSentAt time.Time
@@ -80,6 +82,7 @@
 			c.commands[start.RunRef] = cmd
 		}
 		cmd.requested = true
+		cmd.requestedAt = now
 	}
 	for _, ref := range s.Stops {
 		cmd := c.commands[ref]
@@ -129,12 +132,21 @@
 	}
 }
 
+// mayStart reports whether the runner is known well enough to start a run there, by this
+// agent and, if the runner has shrunk, by the owner that requests the start.
+func (c *Core) mayStart(now time.Time, cmd *command) bool {
+	leased := c.clockMillis > 0 && c.leaseUntilMillis > c.clockMillis
+	answers := c.unansweredRenewals == 0 && now.Sub(c.listedAt) <= listingTTL
+	described := now.Sub(c.heartbeatAt) <= maxDescriptionAge && cmd.requestedAt.Sub(c.shrunkAt) >= shrinkHold
+	return leased && answers && described
+}
+
 func (c *Core) sendStart(now time.Time, cmd *command) {
 	if c.runner.Draining {
 		c.abandonStart(now, cmd)
 		return
 	}
-	if c.clockMillis == 0 || c.leaseUntilMillis <= c.clockMillis || c.unansweredRenewals > 0 || now.Sub(c.listedAt) > listingTTL {
+	if !c.mayStart(now, cmd) {
 		// The owner grants a lease after it has received a reading of the
 		// runner's clock, and a runner that stopped responding may come back
 		// as another incarnation, with a clock by which the lease is longer.
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -33,6 +33,12 @@
 	// maxUnansweredRenewals is how many lease renewals in a row may get no
 	// response before the runner is reported as unanswering. One may be lost.
 	maxUnansweredRenewals = 2
+	// maxDescriptionAge is how old the runner's last heartbeat may be for a start: its
+	// capacity may have shrunk since.
+	maxDescriptionAge = 3 * time.Second
+	// shrinkHold is how long after the runner has shrunk the owner may still request
+	// starts without knowing.
+	shrinkHold = 100 * time.Millisecond
 	// maxStartHold is how long a start is held back, for want of a lease or of a
 	// recent listing, before the agent gives it back to the owner.
 	maxStartHold = time.Second
@@ -90,6 +96,8 @@
 	// incarnation with an earlier start time that sent the last other one.
 	heartbeatAt time.Time
 	rival       rival
+	// shrunkAt is when the runner last reported less capacity than before.
+	shrunkAt time.Time
 	// replaced is the incarnation that the known one replaced.
 	replaced framer.RunnerKey
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -52,7 +52,10 @@
 	}
 	c.heartbeatAt = now
 	c.rival = rival{}
-	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining
+	if sameIncarnation && !holds(b.Info, c.runner) {
+		c.shrunkAt = now
+	}
+	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining || !holds(b.Info, c.runner) || !holds(c.runner, b.Info)
 	c.known = true
 	c.runner = b.Info
 	c.heartbeatSequence = b.Sequence
@@ -62,6 +65,11 @@
 	return true
 }
 
+// holds reports whether a runner has at least the capacity of another one.
+func holds(r, other framer.RunnerInfo) bool {
+	return r.ProcessorMillis >= other.ProcessorMillis && r.MemoryBytes >= other.MemoryBytes && r.Accelerators >= other.Accelerators
+}
+
 // presumedEarlier reports whether an incarnation is taken for an earlier one than
 // the known one: its start time is earlier, or the known one replaced it although
 // its own start time is earlier.
