Blame a start for a crash only if its runner was gone soon after

Its task was on a runner that went dark 8 ms after the start, and on one that was cut off 0.45 s after a start that was carried out late, and crashed behind the cut 4 s later. A start that does not explain it adds little suspicion, and a run that has survived its start is not blamed at all for a crash that another start explains.

--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -17,12 +17,16 @@
 	// maxSuspicion is the suspicion at which a task is given up. A crash right after
 	// its start adds sharedSuspicion, soleSuspicion if no other start can have caused
 	// it and the task was a suspect already, and doubtfulSuspicion if it may never have
-	// started or if the same runner has crashed under it before. So that is after two
-	// crashes at the earliest.
+	// started, if the same runner has crashed under it before, or if the runner may
+	// have crashed much later. So that is after two crashes at the earliest.
 	maxSuspicion      = 5
 	doubtfulSuspicion = 1
 	sharedSuspicion   = 2
 	soleSuspicion     = 3
+	// maxCrashDelay is how soon after a start its runner must be reported not to answer
+	// for the start to have caused that. A runner that ends refuses calls at once; one
+	// that is cut off lets several time out.
+	maxCrashDelay = 800 * time.Millisecond
 	// suspectCrashes is the number of crashes at which a task is a suspect although
 	// its runs survived their starts, or may have.
 	suspectCrashes = 2
@@ -70,13 +74,13 @@
 	if len(runs) == 0 {
 		return
 	}
-	unproven := s.unproven()
+	n := s.suspects()
 	c.Counts.Crashes++
 	c.cfg.LogEvent("runner crashed", "runner", s.key.ID, "born-millis", s.key.StartedAtMillis, "runs", len(runs),
-		"unproven", unproven, "known", s.reported)
+		"unproven", n.unproven, "explaining", n.explaining, "known", s.reported)
 	var next *task
 	for _, t := range runs {
-		c.blame(now, t, unproven == 1)
+		c.blame(now, t, n)
 		if t.record.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
 			next = t
 		}
@@ -96,11 +100,11 @@
 // recordLapse counts the end of a runner's lease as a crash, until the runner turns out
 // to live: it may be back too late for the crash to be counted before the next start.
 func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
-	unproven := s.unproven()
+	n := s.suspects()
 	for _, t := range lost {
 		if t.startSent && t.crashedRun != t.run {
 			before := t.record
-			c.blame(now, t, unproven == 1)
+			c.blame(now, t, n)
 			s.lapses = append(s.lapses, lapse{
 				task: t,
 				added: crashRecord{
@@ -130,37 +134,57 @@
 	return t.startSent && !t.survivedStart()
 }
 
-// unproven counts the runs of a runner that may crash it by their start.
-func (s *runnerState) unproven() int {
-	n := 0
+// explainsCrash reports whether the start of the task's run is likely to have crashed
+// its runner: the run was accepted, and soon after that the runner was gone.
+func (t *task) explainsCrash() bool {
+	goneAt := t.runner.unansweredAt
+	return t.mayCrashByStart() && t.confirmed && !goneAt.IsZero() && goneAt.Sub(t.startSentAt) <= maxCrashDelay
+}
+
+// suspects are the runs of a runner that may have crashed it.
+type suspects struct {
+	// unproven counts the runs that have not survived their start, and explaining
+	// those of them that explain a crash.
+	unproven   int
+	explaining int
+}
+
+// suspects counts the runs that may have crashed the runner.
+func (s *runnerState) suspects() (n suspects) {
 	for t := range s.tasks {
 		if t.mayCrashByStart() {
-			n++
+			n.unproven++
+		}
+		if t.explainsCrash() {
+			n.explaining++
 		}
 	}
 	return n
 }
 
 // blame counts the crash of its runner against a task, and gives the task up if enough
-// speaks for that it crashes its runners. alone is set if no other start may have caused
-// this crash.
-func (c *Cell) blame(now time.Time, t *task, alone bool) {
+// speaks for that it crashes its runners. A run that has survived its start is not to
+// blame if the start of another one explains the crash.
+func (c *Cell) blame(now time.Time, t *task, n suspects) {
 	s := t.runner
+	t.crashedRun = t.run
+	if s.reported && t.survivedStart() && n.explaining > 0 {
+		return
+	}
 	again := s.info.Address != "" && slices.Contains(t.crashedAt, s.info.Address)
 	if !again {
 		t.crashedAt = append(t.crashedAt, s.info.Address)
 	}
 	switch {
 	case !s.reported || !t.mayCrashByStart():
-	case again || !t.confirmed:
+	case again || !t.explainsCrash():
 		t.record.suspicion += doubtfulSuspicion
-	case alone && t.record.suspect():
+	case n.unproven == 1 && t.record.suspect():
 		t.record.suspicion += soleSuspicion
 	default:
 		t.record.suspicion += sharedSuspicion
 	}
 	t.record.crashes++
-	t.crashedRun = t.run
 	if t.record.suspect() && len(s.tasks) > 1 {
 		t.notBefore = now.Add(suspectDelay)
 	}
@@ -274,7 +298,7 @@
 	}
 	return exposure{
 		crashedBefore: crashedBefore,
-		unproven:      s.unproven(),
+		unproven:      s.suspects().unproven,
 		longRunning:   len(s.tasks) - s.finiteTasks(),
 		tasks:         len(s.tasks),
 	}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -24,7 +24,7 @@
 		s.clockAt = now
 	}
 	c.recordFence(now, s, r)
-	s.setUnanswered(r.Unanswered)
+	s.setUnanswered(now, r.Unanswered)
 	listed := s.recordListing(now, r)
 	if c.renewalDue(now, s) {
 		s.needsSync()
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -37,10 +37,12 @@
 	// listings.
 	listedAt time.Time
 	listings int
-	// unanswered is set while the runner does not answer its agent.
-	unanswered  bool
-	clockMillis int64
-	clockAt     time.Time
+	// unanswered is set while the runner does not answer its agent. unansweredAt is when
+	// the agent first reported that since the last listing; zero if it has not.
+	unanswered   bool
+	unansweredAt time.Time
+	clockMillis  int64
+	clockAt      time.Time
 	// leaseEnd is when the last lease that could have been granted expires.
 	leaseEnd time.Time
 	// delayedLeaseEnd is when a lease expires that a delayed call for an earlier
@@ -218,6 +220,7 @@
 	at := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
 	isNew := at.Sub(s.listedAt) > listingJitter
 	if isNew {
+		s.unansweredAt = time.Time{}
 		s.listings++
 	}
 	s.listedAt = maxTime(s.listedAt, at)
@@ -339,10 +342,13 @@
 }
 
 // setUnanswered records whether the runner does not answer its agent.
-func (s *runnerState) setUnanswered(unanswered bool) {
+func (s *runnerState) setUnanswered(now time.Time, unanswered bool) {
 	if s.unanswered && !unanswered {
 		s.index.improved(s)
 	}
+	if unanswered && s.unansweredAt.IsZero() {
+		s.unansweredAt = now
+	}
 	s.unanswered = unanswered
 }
 
