Withdraw starts from a worker that has become too small

The stand-in worker can change its capacity, and a simulation plays that with changes of the owner. before: go test ./pkg/placer -run TestPlacementFollowsChangingCapacity: a start instead of a stop. after: passes.

--- a/pkg/emulator/worker.go
+++ b/pkg/emulator/worker.go
@@ -148,6 +148,14 @@
 	return w.reportAt(clockMillis), nil
 }
 
+// SetCapacity changes the capacity that the worker reports from now on. What runs goes
+// on.
+func (w *Worker) SetCapacity(capacity publisher.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.report.Capacity = capacity
+}
+
 // Advance moves the worker's clock forward: tasks finish, and an expired lease
 // stops the running ones.
 func (w *Worker) Advance(clockMillis int64) {
--- a/pkg/placer/changing_capacity_test.go
+++ b/pkg/placer/changing_capacity_test.go
@@ -43,6 +43,20 @@
 		c.Tick(start.Add(time.Second))
 		assert.Equal(t, stateOf(t, c, "next"), StatePlaced)
 	})
+	t.Run("a start that the worker has not reported is stopped", func(t *testing.T) {
+		c := testCell(t, 1)
+		c.Accept(start, spec("a", 20_000), start)
+		c.Tick(start)
+		commitAll(c, start)
+		assert.Equal(t, len(c.Sync(start, "worker-000", true).Commands), 1)
+		c.HandleReport(start, "worker-000", reportWithCapacity(half))
+		commands := c.Sync(start, "worker-000", true).Commands
+		assert.Equal(t, len(commands), 1)
+		assert.Equal(t, commands[0].Kind, CommandStop)
+		c.HandleReport(start, "worker-000", reportWithCapacity(half, TaskReport{ID: "cell-1/a", Start: 1, State: RunStopped}))
+		assert.Equal(t, stateOf(t, c, "a"), StateAccepted)
+		assert.Equal(t, len(c.workers["worker-000"].failedTasks), 0, "the worker is not to blame")
+	})
 	t.Run("a new owner adopts what runs on a shrunk worker", func(t *testing.T) {
 		c := testCell(t, 1)
 		c.Accept(start, spec("running", 20_000), start)
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
 // Commit returns the rows that changed since the last commit, and whether there is
@@ -64,6 +66,7 @@
 	s.Incarnation = w.incarnation
 	s.LeaseUntilMillis = w.clockMillis + TaskLease.Milliseconds()
 	w.leaseEnd = w.clockAt.Add(TaskLease)
+	c.withdrawStarts(w)
 	for _, e := range w.placed() {
 		if command, ok := c.command(e, mayStart); ok {
 			s.Commands = append(s.Commands, command)
@@ -72,6 +75,19 @@
 	return s
 }
 
+// withdrawStarts withdraws the starts that a worker has not reported yet if it has become
+// too small for what is placed on it. A former owner may have sent them.
+func (c *Cell) withdrawStarts(w *worker) {
+	if w.allocations.Fits(publisher.Resources{}) {
+		return
+	}
+	for _, e := range w.placed() {
+		if e.State == StatePlaced && !e.confirmed {
+			e.withdrawn = true
+		}
+	}
+}
+
 // command returns the command for a task that is placed on a worker, if one is
 // due. A start is sent only after its row has been committed.
 func (c *Cell) command(e *trackedTask, mayStart bool) (Command, bool) {
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -200,7 +200,7 @@
 	if t.Checkpoint != "" {
 		e.Checkpoint = t.Checkpoint
 	}
-	if e.withdrawn {
+	if e.withdrawn && !e.unlistedSince.IsZero() && c.now.Sub(e.unlistedSince) >= maxUnlisted {
 		e.lastFailedWorker = w.address
 		c.recordFailure(w, e)
 	}
