--- a/pkg/experimenter/steps_waiting_test.go
+++ b/pkg/experimenter/steps_waiting_test.go
@@ -172,10 +172,11 @@
 	}
 }
 
-// TestJobsOfUnlistedRunsRunAgainInTime guards against the same for a job whose run
-// was sent just before its runner was lost, and was never listed.
+// TestJobsOfUnlistedRunsRunAgainInTime guards against the same for a task whose run was
+// sent just before its runner was lost, or is stopped in an incarnation under the same id
+// that is lost too.
 func TestJobsOfUnlistedRunsRunAgainInTime(t *testing.T) {
-	for _, seed := range []uint64{9, 37} {
+	for _, seed := range []uint64{9, 37, 40} {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { testWaits(t, seed, stepsLongestLease) })
 	}
 }
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -163,8 +163,7 @@
 	penaltyFailed    = 8
 	penaltySlow      = 16
 	penaltyRefused   = 32
-	// penaltyRestarted: a long-running task would wait for long if the runner
-	// was lost.
+	// penaltyRestarted: the task would wait for long if the runner was lost.
 	penaltyRestarted = 64
 )
 
@@ -196,7 +195,7 @@
 		penalty: penaltyOf(now, s, t, gang),
 	}
 	if t.record.suspect() {
-		r.exposure = s.exposureTo(t)
+		r.exposure = s.exposureTo(now, t)
 	}
 	if step := t.spec(); step.TargetMillis > 0 {
 		r.rejections = c.rejections.added(step.Image, s.latencyCritical)
@@ -224,7 +223,7 @@
 	if s.speed.slow(now) {
 		penalty += penaltySlow
 	}
-	if step.LongRunning && now.Before(s.delayedLeaseEnd) {
+	if s.delaysRestart(now, step) {
 		penalty += penaltyRestarted
 	}
 	if s.startRefusals.recent(now) {
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -237,7 +237,7 @@
 		if s.info.Service != c.service(t.job) || !s.schedulable(now) || !c.fits(s, &w, t) {
 			continue
 		}
-		e := s.exposureTo(t)
+		e := s.exposureTo(now, t)
 		e.unproven = 0
 		if best == nil || cmp.Or(e.compare(least), compareKeys(s.key, best.key)) < 0 {
 			best, least = s, e
@@ -272,6 +272,8 @@
 // exposure is what a crash of a runner would cost beside the task that causes it;
 // the zero value is the least.
 type exposure struct {
+	// restarted is 1 if the task would wait for long if the runner was lost.
+	restarted int
 	// crashedBefore is 1 if the runner has crashed under the task before, which would
 	// say little about the task.
 	crashedBefore int
@@ -283,6 +285,7 @@
 
 func (e exposure) compare(other exposure) int {
 	return cmp.Or(
+		cmp.Compare(e.restarted, other.restarted),
 		cmp.Compare(e.crashedBefore, other.crashedBefore),
 		cmp.Compare(e.unproven, other.unproven),
 		cmp.Compare(e.longRunning, other.longRunning),
@@ -291,17 +294,19 @@
 }
 
 // exposureTo returns what a crash of the runner by a task would cost.
-func (s *runnerState) exposureTo(t *task) exposure {
-	crashedBefore := 0
-	if slices.Contains(t.crashedAt, s.info.Address) {
-		crashedBefore = 1
+func (s *runnerState) exposureTo(now time.Time, t *task) exposure {
+	e := exposure{
+		unproven:    s.suspects().unproven,
+		longRunning: len(s.tasks) - s.finiteTasks(),
+		tasks:       len(s.tasks),
+	}
+	if s.delaysRestart(now, t.spec()) {
+		e.restarted = 1
 	}
-	return exposure{
-		crashedBefore: crashedBefore,
-		unproven:      s.suspects().unproven,
-		longRunning:   len(s.tasks) - s.finiteTasks(),
-		tasks:         len(s.tasks),
+	if slices.Contains(t.crashedAt, s.info.Address) {
+		e.crashedBefore = 1
 	}
+	return e
 }
 
 // recordCrashes stores the crash record of the task at an index.
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -277,3 +277,23 @@
 		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{})
 	})
 }
+
+// A long-running suspect must not be tried on a runner that restarted a moment ago, since
+// it would wait there for long if that was lost.
+func TestLongRunningSuspectAvoidsRestartedRunner(t *testing.T) {
+	h := newCrashHarness(t, 3)
+	step := newStep(1, 500)
+	step.LongRunning = true
+	h.add("j", "checks", step)
+	h.crash(h.start("j.0.0.0"))
+	for agent := range h.runners {
+		if agent != "x1" && h.agentOf("j.0.0.0") != agent {
+			continue
+		}
+		h.runners[agent].Runner.Key.StartedAtMillis += 500_000
+		h.runners[agent].Running = nil
+		h.report(agent)
+	}
+	h.advance(suspectDelay + maxTrial)
+	assert.Assert(t, h.agentOf("j.0.0.0") != "x1", "it restarted under its id")
+}
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -151,6 +151,13 @@
 	s.delayedLeaseEnd = minTime(s.delayedLeaseEnd, listedAt.Add(MaxLease(c.cfg.LongestLease)))
 }
 
+// delaysRestart reports whether a task of a step would wait for long if the runner was
+// lost now: delayed calls for its earlier incarnation may have granted it a lease. Until
+// it rejects such calls, that is too long for a finite task as well.
+func (s *runnerState) delaysRestart(now time.Time, step *Step) bool {
+	return now.Before(s.delayedLeaseEnd) && (step.LongRunning || s.fenceEpoch > 0)
+}
+
 // limitLeases records that no lease of the runner lasts beyond end.
 func (s *runnerState) limitLeases(end time.Time) {
 	s.leaseEnd = minTime(s.leaseEnd, end)
