Hold the new guards, and split the code on crashes

cause: scripts/red-first.sh had no guard for the changes on crashes and capacities, and one of its expressions was stale after a start's conditions moved into a function. The test that a long-running suspect avoids a restarted runner passed without that. change: 17 guards, the test rebuilt so that the restarted runner is the emptiest one, a test for finite tasks; crash.go holds the attribution, crash_record.go what is stored, trial.go the trial.

--- /dev/null
+++ b/pkg/scheduler/crash_record.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import "time"
+
+const (
+	// maxCrashes is the number of crashes of runners under a task, without a run that
+	// proves it sound, at which it is given up, whatever the evidence.
+	maxCrashes = 5
+	// maxSuspicion is the suspicion at which a task is given up. A crash right after
+	// its start adds sharedSuspicion, soleSuspicion if no other start can have caused
+	// it and the task was a suspect already, and doubtfulSuspicion if it may never have
+	// started, if the same runner has crashed under it before, or if the runner may
+	// have crashed much later. So that is after two crashes at the earliest.
+	maxSuspicion      = 5
+	doubtfulSuspicion = 1
+	sharedSuspicion   = 2
+	soleSuspicion     = 3
+	// suspectCrashes is the number of crashes at which a task is a suspect although
+	// its runs survived their starts, or may have.
+	suspectCrashes = 2
+)
+
+// crashRecord is what speaks for that a task crashes its runners.
+type crashRecord struct {
+	// crashes counts the runners that crashed under the task.
+	crashes int
+	// suspicion is the evidence that its start crashes them; a run that survives its
+	// start refutes it.
+	suspicion int
+}
+
+// suspect reports whether the task may crash its runners.
+func (r crashRecord) suspect() bool {
+	return r.suspicion >= sharedSuspicion || r.crashes >= suspectCrashes
+}
+
+// guilty reports whether the task is to be given up.
+func (r crashRecord) guilty() bool {
+	return r.suspicion >= maxSuspicion || r.crashes >= maxCrashes
+}
+
+// clearRecord drops what the present run of a task refutes: that its start crashes
+// runners once it has survived that, and everything once a long-running task has
+// been at work for long.
+func (c *Cell) clearRecord(now time.Time, t *task) {
+	before := t.record
+	if before == (crashRecord{}) {
+		return
+	}
+	if t.survivedStart() {
+		t.record.suspicion = 0
+	}
+	if t.provesRunner(now) {
+		t.record = crashRecord{}
+	}
+	if t.record != before {
+		c.markChanged(t.job)
+	}
+}
+
+// recordCrashes stores the crash record of the task at an index.
+func (p *Progress) recordCrashes(index, tasks int, r crashRecord) {
+	if p.Crashes == nil {
+		p.Crashes = make([]byte, tasks)
+		p.Suspicions = make([]byte, tasks)
+	}
+	p.Crashes[index] = byte(min(r.crashes, maxCrashes))
+	p.Suspicions[index] = byte(min(r.suspicion, maxSuspicion))
+}
+
+// crashRecord returns the crash record of the task at an index.
+func (p *Progress) crashRecord(index int) (r crashRecord) {
+	if index < len(p.Crashes) && index < len(p.Suspicions) {
+		r.crashes = int(p.Crashes[index])
+		r.suspicion = int(p.Suspicions[index])
+	}
+	return r
+}
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -282,18 +282,15 @@
 // it would wait there for long if that was lost.
 func TestLongRunningSuspectAvoidsRestartedRunner(t *testing.T) {
 	h := newCrashHarness(t, 3)
-	step := newStep(1, 500)
-	step.LongRunning = true
-	h.add("j", "checks", step)
-	h.crash(h.start("j.0.0.0"))
-	for agent := range h.runners {
-		if agent != "x1" && h.agentOf("j.0.0.0") != agent {
-			continue
-		}
-		h.runners[agent].Runner.Key.StartedAtMillis += 500_000
-		h.runners[agent].Running = nil
-		h.report(agent)
-	}
+	h.add("j", "checks", newLongRunningStep(500))
+	assert.Equal(t, h.start("j.0.0.0"), "x0")
+	load := newLongRunningStep(500)
+	load.Requires = "rack-2"
+	h.add("load", "checks", load)
+	assert.Equal(t, h.start("load.0.0.0"), "x2")
+	h.runners["x1"].Runner.Key.StartedAtMillis += 500_000
+	h.report("x1")
+	h.crash("x0")
 	h.advance(suspectDelay + maxTrial)
-	assert.Assert(t, h.agentOf("j.0.0.0") != "x1", "it restarted under its id")
+	assert.Equal(t, h.agentOf("j.0.0.0"), "x2", "x0 crashed under it, and x1 restarted")
 }
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -140,6 +140,28 @@
 	assert.Equal(t, len(h.acceptStarts("b")), 1)
 }
 
+// TestFiniteTaskAvoidsUnfencedRunner guards against finite tasks that wait for delayed calls
+// because their runner, which restarted under its id, is lost before it rejects these.
+func TestFiniteTaskAvoidsUnfencedRunner(t *testing.T) {
+	h := newCellHarness(t, "a", "b")
+	r := h.runners["a"]
+	r.Runner.ProcessorMillis *= 2
+	r.Runner.Key.StartedAtMillis++
+	r.ClockMillis = 0
+	h.report("a")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 0)
+	assert.Equal(t, len(h.acceptStarts("b")), 1)
+	h.cell.SetEpoch(2)
+	r.ListedEpoch = 2
+	h.report("a")
+	h.add("k", "checks", newStep(1, 500))
+	h.now = h.now.Add(placementInterval)
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 1)
+}
+
 // TestNextOwnerWaitsForDelayedLeases guards against a task that runs twice: a delayed
 // call may have granted its runner a longer lease than the former owner did.
 func TestNextOwnerWaitsForDelayedLeases(t *testing.T) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -126,7 +126,7 @@
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
 guard replaced-incarnation-stays-replaced pkg/supervisor/heartbeat.go 's/ \|\| key == c.replaced//' pkg/supervisor TestDelayedHeartbeatOfReplacedIncarnationIsIgnored
-guard unanswered-renewal-holds-starts pkg/supervisor/commands.go 's/c.unansweredRenewals > 0/false/' pkg/supervisor TestNoStartAfterUnansweredRenewal
+guard unanswered-renewal-holds-starts pkg/supervisor/commands.go 's/c.unansweredRenewals == 0/true/' pkg/supervisor TestNoStartAfterUnansweredRenewal
 guard repeated-start-is-fenced pkg/supervisor/commands.go 's/if start.Repeated \{/if false {/' pkg/supervisor TestRepeatedStartIsStoppedInLaterIncarnation
 guard unlisted-runs-wait-for-the-longest-lease pkg/scheduler/leases.go 's/MaxLease\(c.cfg.LongestLease\)\)$/c.maxLease())/' pkg/scheduler TestUnlistedRunWaitsForLongestLease
 guard restarted-runners-come-last pkg/scheduler/choosing.go 's/penalty \+= penaltyRestarted/penalty += 0/' pkg/scheduler TestLongRunningTaskAvoidsRestartedRunner
@@ -157,5 +157,22 @@
 guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add/s.startRefusals.add/' pkg/scheduler TestRefusedStartsGoElsewhere
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
+guard crashes-are-counted pkg/scheduler/report.go 's/^\t+c.recordCrash\(now, old\)//' pkg/scheduler TestTaskThatCrashesRunnersIsGivenUp
+guard crash-record-is-stored pkg/scheduler/task.go 's/if t.record != \(crashRecord\{\}\)/if false/' pkg/scheduler TestCrashRecordSurvivesItsOwner
+guard survived-start-refutes-suspicion pkg/scheduler/crash_record.go 's/t.record.suspicion = 0//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
+guard silence-explains-no-crash pkg/scheduler/crash.go 's/ \&\& goneAt.Sub\(t.startSentAt\) <= maxCrashDelay//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
+guard explained-crash-blames-no-other pkg/scheduler/crash.go 's/ \&\& n.explaining > 0 \{/ \&\& false {/' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
+guard end-of-lease-counts-as-crash pkg/scheduler/leases.go 's/^\tc.recordLapse\(now, s, lost\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
+guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
+guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
+guard suspects-avoid-restarted-runners pkg/scheduler/trial.go 's/e.restarted = 1/e.restarted = 0/' pkg/scheduler TestLongRunningSuspectAvoidsRestartedRunner
+guard finite-tasks-avoid-unfenced-runners pkg/scheduler/leases.go 's/ \|\| s.fenceEpoch > 0\)/)/' pkg/scheduler TestFiniteTaskAvoidsUnfencedRunner
+guard request-may-end-few-endpoints pkg/dispatcher/attempt.go 's/q.lostAttempts >= maxLostAttempts \|\| //' pkg/dispatcher TestRequestThatEndsItsEndpointsIsGivenUp
+guard lost-workers-are-counted pkg/placer/reconcile.go 's/e.Crashes\+\+//' pkg/placer TestTaskThatCrashesWorkersIsGivenUp
+guard capacity-follows-reports pkg/placer/reconcile.go 's/w.allocations.SetCapacity\(r.Capacity\)//' pkg/placer TestPlacementFollowsChangingCapacity
+guard shrunk-worker-gets-no-start pkg/placer/output.go 's/^\tc.withdrawStarts\(w\)//' pkg/placer TestPlacementFollowsChangingCapacity
+guard shrunk-runner-gets-no-start pkg/scheduler/sync.go 's/^\tc.withdrawStarts\(s\)//' pkg/scheduler TestStartsAreWithdrawnFromShrunkRunner
+guard start-needs-recent-heartbeat pkg/supervisor/commands.go 's/now.Sub\(c.heartbeatAt\) <= maxDescriptionAge/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
+guard start-is-requested-again-after-shrink pkg/supervisor/commands.go 's/cmd.requestedAt.Sub\(c.shrunkAt\) >= shrinkHold/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
