--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -8,10 +8,6 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
-// provenWork is how long a long-running task must have run until its failure is
-// no evidence against its runner.
-const provenWork = 10 * time.Second
-
 // HandleReport processes an agent's report. now must be later than the time at
 // which the runner's clock was read.
 func (c *Cell) HandleReport(now time.Time, agent string, r framer.Report) {
@@ -93,65 +89,6 @@
 	return s
 }
 
-// replaceEarlier replaces the earlier incarnations of a runner and the earlier
-// runners with its address.
-func (c *Cell) replaceEarlier(now time.Time, s *runnerState) {
-	for _, old := range c.incarnations.earlier(s) {
-		if old.key.ID == s.key.ID {
-			c.supersede(now, old, s)
-			continue
-		}
-		c.recordCrash(now, old)
-		// Calls to the former runner carry its id, so none of them takes effect
-		// on this one.
-		c.loseRuns(old, "another runner uses its address")
-		c.removeRunner(old)
-	}
-}
-
-// supersede replaces an earlier incarnation of a runner that restarted with the
-// same id. Delayed start requests for the earlier incarnation may still reach
-// the new one, so recent and unlisted runs are stopped there before they start
-// elsewhere.
-func (c *Cell) supersede(now time.Time, old, s *runnerState) {
-	c.recordCrash(now, old)
-	for _, t := range old.placed() {
-		if t.startSent && (!t.listed || old.startMayArrive(now, t.ref())) {
-			old.release(t)
-			s.bind(t)
-			t.stopping = true
-			c.markChanged(t.job)
-		}
-	}
-	for ref := range old.startsSent {
-		if old.startMayArrive(now, ref) && c.currentTask(s, ref) == nil {
-			s.fences[ref] = struct{}{}
-		}
-	}
-	c.loseRuns(old, "runner restarted without runs")
-	// A delayed call to the earlier incarnation may still reach this one, with
-	// a lease by the earlier incarnation's clock, which this one shortens to the
-	// longest that it grants. A higher epoch makes this one reject such calls.
-	s.delayedLeaseEnd = now.Add(maxCallDelay + MaxLease(c.cfg.LongestLease))
-	s.fenceEpoch = c.cfg.Epoch + 1
-	c.requiredEpoch = s.fenceEpoch
-	c.removeRunner(old)
-}
-
-// loseRuns releases all tasks of a runner that provably runs none of them.
-func (c *Cell) loseRuns(s *runnerState, why string) {
-	for _, t := range s.placed() {
-		c.loseRun(t, why)
-	}
-}
-
-func (c *Cell) loseRun(t *task, why string) {
-	c.Counts.Lost++
-	c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", t.runner.key.ID, "why", why,
-		"start-sent", t.startSent, "confirmed", t.confirmed, "listed", t.listed)
-	c.release(t)
-}
-
 // drain stops the long-running and checkpointed tasks of a leaving runner, so
 // that they continue elsewhere.
 func (c *Cell) drain(_ time.Time, s *runnerState) {
@@ -273,123 +210,6 @@
 	}
 }
 
-// runFinished processes a finished run.
-func (c *Cell) runFinished(now time.Time, s *runnerState, e framer.FinishedRun) {
-	s.removeUnexpected(e.RunRef)
-	t := c.currentTask(s, e.RunRef)
-	if t == nil {
-		if e.Reason != framer.FinishNeverStarted {
-			c.cfg.LogEvent("finished run is not current", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason)
-		}
-		return
-	}
-	c.cfg.LogEvent("run finished", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason)
-	if e.Reason != framer.FinishNeverStarted {
-		c.markBegun(t.job)
-	}
-	switch e.Reason {
-	case framer.FinishDone:
-		c.runDone(now, s, t)
-	case framer.FinishFailed:
-		c.runFailed(now, s, t)
-	case framer.FinishNeverStarted:
-		c.Counts.NeverStarted++
-		if !t.stopping && s.startRefusals.add(now) {
-			c.cfg.LogEvent("runner did not start a run", "task", e.Task, "run", e.Run, "runner", s.key.ID, "for", s.startRefusals.backoff)
-		}
-		c.release(t)
-	default:
-		c.Counts.Stopped++
-		if e.Checkpoint != "" {
-			t.checkpoint = e.Checkpoint
-		}
-		c.release(t)
-	}
-}
-
-func (c *Cell) runDone(now time.Time, s *runnerState, t *task) {
-	c.Counts.Done++
-	s.recordSuccess()
-	if t.spec().LongRunning {
-		t.checkpoint = ""
-		c.release(t)
-		t.notBefore = now.Add(longRunningRestartDelay)
-		return
-	}
-	c.release(t)
-	c.markDone(t)
-	if t.spec().Gang {
-		// One finished run completes the whole gang.
-		for _, member := range t.occurrence.steps[t.step] {
-			if member.runner != nil {
-				c.release(member)
-			}
-			c.markDone(member)
-		}
-	}
-	if t.job.unfinished == 0 && !t.job.state.Final() {
-		c.endJob(now, t.job, StateCompleted)
-	}
-}
-
-// markDone counts a task as done.
-func (c *Cell) markDone(t *task) {
-	if t.done {
-		return
-	}
-	c.placementDue = true
-	t.done = true
-	t.job.unfinished--
-	t.occurrence.unfinished[t.step]--
-}
-
-func (c *Cell) runFailed(now time.Time, s *runnerState, t *task) {
-	c.Counts.Failed++
-	t.failures++
-	t.avoid = append(t.avoid, s.key.ID)
-	if !t.provesRunner(now) {
-		c.attributeFailure(now, s, t.job)
-	}
-	c.release(t)
-	t.notBefore = now
-	if t.spec().LongRunning {
-		t.notBefore = now.Add(longRunningRestartDelay)
-		return
-	}
-	limit := defaultMaxFailures
-	if q := c.queue(t.job); q != nil {
-		limit = max(1, q.MaxFailures)
-	}
-	if t.failures >= limit && !t.job.state.Final() {
-		c.endJob(now, t.job, StateFailed)
-	}
-}
-
-// provesRunner reports whether a run was at work for so long that its end is no
-// evidence against its runner. Long-running tasks may fail at any time.
-func (t *task) provesRunner(now time.Time) bool {
-	return t.spec().LongRunning && t.listed && now.Sub(t.listedSince) >= provenWork
-}
-
-// attributeFailure attributes a failed run either to its runner or to its job.
-// A runner that fails the runs of different jobs is quarantined. A job that
-// fails on several runners is itself at fault, and its failures no longer count
-// against any runner.
-func (c *Cell) attributeFailure(now time.Time, s *runnerState, j *job) {
-	for _, id := range j.failedOn {
-		if id != s.key.ID {
-			for _, other := range c.runners {
-				other.removeFailure(j.spec.ID)
-			}
-			return
-		}
-	}
-	j.failedOn = append(j.failedOn, s.key.ID)
-	if s.recordFailure(now, j.spec.ID) {
-		c.cfg.LogEvent("runner quarantined", "runner", s.key.ID, "for", s.quarantine, "jobs", s.failedJobs)
-	}
-}
-
 func containsRun(running []framer.RunStatus, ref framer.RunRef) bool {
 	for _, r := range running {
 		if r.RunRef == ref {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -86,7 +86,7 @@
 guard malformed-row-hides-no-run platform/runner.go 's/^\t\t\tcontinue$/\t\t\tbreak/' platform TestMalformedRowOfListingIsSkipped
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
 guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
-guard former-incarnation-is-stopped pkg/scheduler/report.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
+guard former-incarnation-is-stopped pkg/scheduler/lost_runner.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
 guard lost-runner-waits-for-its-lease pkg/scheduler/leases.go 's/if !now.After\(s.leaseEnd\) .*\{/if s.agent != "" {/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
 guard prediction-error-is-limited pkg/scheduler/interference.go 's/maxResidual = .*/maxResidual = 50/' pkg/scheduler TestOutliersChangeModelLittle
@@ -98,16 +98,16 @@
 guard quarantine-ends-a-wait pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-are-probed-slowly pkg/scheduler/quarantined_choice.go 's/\(s.lastPlacedAt\) >= interval/(s.lastPlacedAt) >= 0*interval/' pkg/scheduler TestQuarantineDoesNotKeepTasksWaiting
 guard quarantined-runners-like-scan pkg/scheduler/quarantined_choice.go 's/^\t\ta.quarantinedUntil.Compare.*//' pkg/scheduler TestIndexPlacesLikeScan
-guard refused-start-goes-elsewhere pkg/scheduler/report.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestRefusedStart
+guard refused-start-goes-elsewhere pkg/scheduler/finished_run.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestRefusedStart
 guard refusals-are-forgotten pkg/scheduler/start_refusals.go 's/ \&\& now.Sub\(r.lastAt\) < refusalMemory//' pkg/scheduler TestRefusedStart
 guard reserve-leaves-room-that-suffices-twice pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestReserve
 guard answering-incarnation-is-current pkg/supervisor/listing.go '/c.answeredBy = /d' pkg/supervisor TestNewRunnerIncarnationWithLowerStartTime
 guard long-running-tasks-probe pkg/scheduler/choosing.go 's/return c.chooseQuarantined\(now, w, t\)/return nil/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
-guard long-running-tasks-leave-refusers pkg/scheduler/report.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
+guard long-running-tasks-leave-refusers pkg/scheduler/finished_run.go 's/ \&\& s.startRefusals.add\(now\)/ \&\& false/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard long-running-tasks-use-reserve pkg/scheduler/choosing.go 's/reserve = min\(reserve, needs.ProcessorMillis\)/reserve = min(reserve, reserve)/' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard refusal-does-not-end-a-wait pkg/scheduler/placing.go 's/w.recordWaiting\(now, mayBeRefused\)/w.recordWaiting(now, mayBeRefused \&\& false)/' pkg/scheduler TestRefusedStart
 guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
-guard late-failures-are-no-evidence pkg/scheduler/report.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
+guard late-failures-are-no-evidence pkg/scheduler/finished_run.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
 guard idle-jobs-probe pkg/scheduler/quarantined_choice.go 's/ \|\| w.job.placed == 0//' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
 guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
@@ -153,11 +153,11 @@
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
 guard left-runner-gets-no-lease pkg/scheduler/leases.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
-guard refusing-runner-gets-a-rest pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add\(now\)/false/' pkg/scheduler TestRefusedStartsGoElsewhere
-guard withdrawn-start-is-no-refusal pkg/scheduler/report.go 's/!t.stopping \&\& s.startRefusals.add/s.startRefusals.add/' pkg/scheduler TestRefusedStartsGoElsewhere
+guard refusing-runner-gets-a-rest pkg/scheduler/finished_run.go 's/!t.stopping \&\& s.startRefusals.add\(now\)/false/' pkg/scheduler TestRefusedStartsGoElsewhere
+guard withdrawn-start-is-no-refusal pkg/scheduler/finished_run.go 's/!t.stopping \&\& s.startRefusals.add/s.startRefusals.add/' pkg/scheduler TestRefusedStartsGoElsewhere
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
-guard crashes-are-counted pkg/scheduler/report.go 's/^\t+c.recordCrash\(now, old\)//' pkg/scheduler TestTaskThatCrashesRunnersIsGivenUp
+guard crashes-are-counted pkg/scheduler/lost_runner.go 's/^\t+c.recordCrash\(now, old\)//' pkg/scheduler TestTaskThatCrashesRunnersIsGivenUp
 guard crash-record-is-stored pkg/scheduler/task.go 's/if t.record != \(crashRecord\{\}\)/if false/' pkg/scheduler TestCrashRecordSurvivesItsOwner
 guard survived-start-refutes-suspicion pkg/scheduler/crash_record.go 's/t.record.suspicion = 0//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard silence-explains-no-crash pkg/scheduler/crash.go 's/ \&\& goneAt.Sub\(t.startSentAt\) <= maxCrashDelay//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
