Take the interval of heartbeats into account

cause: an agent started runs only with a heartbeat of the last 3 s. On a deployment whose runners send heartbeats less often than that, starts would wait between them. ruled out: a longer constant; a shrink counts the time after which instances are in touch (3 s and more) and one heartbeat later. change: the agent averages the interval, and starts runs while no heartbeat is more than 2 s late.

--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -137,7 +137,7 @@
 func (c *Core) mayStart(now time.Time, cmd *command) bool {
 	leased := c.clockMillis > 0 && c.leaseUntilMillis > c.clockMillis
 	answers := c.unansweredRenewals == 0 && now.Sub(c.listedAt) <= listingTTL
-	described := now.Sub(c.heartbeatAt) <= maxDescriptionAge && cmd.requestedAt.Sub(c.shrunkAt) >= shrinkHold
+	described := now.Sub(c.heartbeatAt) <= c.heartbeatInterval+maxHeartbeatDelay && cmd.requestedAt.Sub(c.shrunkAt) >= shrinkHold
 	return leased && answers && described
 }
 
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -33,9 +33,11 @@
 	// maxUnansweredRenewals is how many lease renewals in a row may get no
 	// response before the runner is reported as unanswering. One may be lost.
 	maxUnansweredRenewals = 2
-	// maxDescriptionAge is how old the runner's last heartbeat may be for a start: its
-	// capacity may have shrunk since.
-	maxDescriptionAge = 3 * time.Second
+	// maxHeartbeatDelay is how late the runner's next heartbeat may be for a start: its
+	// capacity may have shrunk since the last one. minHeartbeatInterval is the interval
+	// that is assumed at least.
+	maxHeartbeatDelay    = 2 * time.Second
+	minHeartbeatInterval = time.Second
 	// shrinkHold is how long after the runner has shrunk the owner may still request
 	// starts without knowing.
 	shrinkHold = 100 * time.Millisecond
@@ -96,6 +98,8 @@
 	// incarnation with an earlier start time that sent the last other one.
 	heartbeatAt time.Time
 	rival       rival
+	// heartbeatInterval is the mean time between the latest heartbeats.
+	heartbeatInterval time.Duration
 	// shrunkAt is when the runner last reported less capacity than before.
 	shrunkAt time.Time
 	// replaced is the incarnation that the known one replaced.
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -12,6 +12,9 @@
 	// many heartbeats that one must have sent.
 	maxHeartbeatSilence = 4 * time.Second
 	minHeartbeats       = 3
+	// heartbeatSmoothing is the number of heartbeats over which their interval is
+	// averaged.
+	heartbeatSmoothing = 4
 )
 
 // rival is an incarnation with an earlier start time than the known one.
@@ -50,6 +53,7 @@
 		c.replaced = c.runner.Key
 		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
 	}
+	c.recordInterval(now, sameIncarnation)
 	c.heartbeatAt = now
 	c.rival = rival{}
 	if sameIncarnation && !holds(b.Info, c.runner) {
@@ -65,6 +69,15 @@
 	return true
 }
 
+// recordInterval updates the mean time between heartbeats.
+func (c *Core) recordInterval(now time.Time, sameIncarnation bool) {
+	interval := minHeartbeatInterval
+	if sameIncarnation {
+		interval = c.heartbeatInterval + (now.Sub(c.heartbeatAt)-c.heartbeatInterval)/heartbeatSmoothing
+	}
+	c.heartbeatInterval = max(minHeartbeatInterval, interval)
+}
+
 // holds reports whether a runner has at least the capacity of another one.
 func holds(r, other framer.RunnerInfo) bool {
 	return r.ProcessorMillis >= other.ProcessorMillis && r.MemoryBytes >= other.MemoryBytes && r.Accelerators >= other.Accelerators
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -72,7 +72,7 @@
 guard only-the-same-incarnation pkg/emulator/worker.go 's/if s.Incarnation != w.report.Incarnation \{/if false {/' $simulation TestStartReachesReplacedWorker
 steps='TestStepsUnderFaults'
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
-guard silent-runner-starts-nothing pkg/supervisor/commands.go 's/ \|\| now.Sub\(c.listedAt\) > listingTTL//' pkg/supervisor TestSilentRunner
+guard silent-runner-starts-nothing pkg/supervisor/commands.go 's#now.Sub\(c.listedAt\) <= listingTTL#true#' pkg/supervisor TestSilentRunner
 guard stepped-back-runner-is-accepted pkg/supervisor/heartbeat.go 's/return answers .. alone/_ = alone; return answers/' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard late-heartbeats-replace-no-runner pkg/supervisor/heartbeat.go 's/c.rival.heartbeats >= minHeartbeats .. //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
@@ -172,7 +172,7 @@
 guard capacity-follows-reports pkg/placer/reconcile.go 's/w.allocations.SetCapacity\(r.Capacity\)//' pkg/placer TestPlacementFollowsChangingCapacity
 guard shrunk-worker-gets-no-start pkg/placer/output.go 's/^\tc.withdrawStarts\(w\)//' pkg/placer TestPlacementFollowsChangingCapacity
 guard shrunk-runner-gets-no-start pkg/scheduler/sync.go 's/^\tc.withdrawStarts\(s\)//' pkg/scheduler TestStartsAreWithdrawnFromShrunkRunner
-guard start-needs-recent-heartbeat pkg/supervisor/commands.go 's/now.Sub\(c.heartbeatAt\) <= maxDescriptionAge/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
+guard start-needs-recent-heartbeat pkg/supervisor/commands.go 's/now.Sub\(c.heartbeatAt\) <= c.heartbeatInterval\+maxHeartbeatDelay/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
 guard start-is-requested-again-after-shrink pkg/supervisor/commands.go 's/cmd.requestedAt.Sub\(c.shrunkAt\) >= shrinkHold/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
