--- a/pkg/placer/changing_capacity_test.go
+++ b/pkg/placer/changing_capacity_test.go
@@ -55,7 +55,7 @@
 		assert.Equal(t, commands[0].Kind, CommandStop)
 		c.HandleReport(start, "worker-000", reportWithCapacity(half, TaskReport{ID: "cell-1/a", Start: 1, State: RunStopped}))
 		assert.Equal(t, stateOf(t, c, "a"), StateAccepted)
-		assert.Equal(t, len(c.workers["worker-000"].failedTasks), 0, "the worker is not to blame")
+		assert.Equal(t, len(c.workers["worker-000"].failedTasks), 0, "the worker is not at fault")
 	})
 	t.Run("a new owner adopts what runs on a shrunk worker", func(t *testing.T) {
 		c := testCell(t, 1)
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -39,7 +39,7 @@
 		"unproven", n.unproven, "explaining", n.explaining, "known", s.reported)
 	var next *task
 	for _, t := range runs {
-		c.blame(now, t, n)
+		c.attributeCrash(now, t, n)
 		if t.record.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
 			next = t
 		}
@@ -63,7 +63,7 @@
 	for _, t := range lost {
 		if t.startSent && t.crashedRun != t.run {
 			before := t.record
-			c.blame(now, t, n)
+			c.attributeCrash(now, t, n)
 			s.lapses = append(s.lapses, lapse{
 				task: t,
 				added: crashRecord{
@@ -121,10 +121,10 @@
 	return n
 }
 
-// blame counts the crash of its runner against a task, and gives the task up if enough
-// speaks for that it crashes its runners. A run that has survived its start is not to
-// blame if the start of another one explains the crash.
-func (c *Cell) blame(now time.Time, t *task, n suspects) {
+// attributeCrash counts the crash of its runner against a task, and gives the task up if
+// its record is conclusive. A run that has survived its start is no cause of a crash that
+// another start explains.
+func (c *Cell) attributeCrash(now time.Time, t *task, n suspects) {
 	s := t.runner
 	t.crashedRun = t.run
 	if s.reported && t.survivedStart() && n.explaining > 0 {
@@ -148,7 +148,7 @@
 		t.notBefore = now.Add(suspectDelay)
 	}
 	c.markChanged(t.job)
-	if !t.record.guilty() || t.job.state.Final() {
+	if !t.record.conclusive() || t.job.state.Final() {
 		return
 	}
 	c.Counts.GivenUp++
--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -34,8 +34,8 @@
 	return r.suspicion >= sharedSuspicion || r.crashes >= suspectCrashes
 }
 
-// guilty reports whether the task is to be given up.
-func (r crashRecord) guilty() bool {
+// conclusive reports whether enough speaks for that the task crashes its runners.
+func (r crashRecord) conclusive() bool {
 	return r.suspicion >= maxSuspicion || r.crashes >= maxCrashes
 }
 
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -107,7 +107,7 @@
 	})
 }
 
-// A sound task must not be blamed for crashes that it survives the start before.
+// A sound task must not be given up for crashes that it has nothing to do with.
 func TestSoundTaskIsNotBlamedForCrashesBesideIt(t *testing.T) {
 	t.Run("a run that survived its start is not evidence", func(t *testing.T) {
 		h := newCrashHarness(t, 8)
@@ -220,7 +220,7 @@
 }
 
 // All members of a gang are lost with the one that crashes its runner; only that one
-// is to be blamed again and again.
+// counts again and again.
 func TestGangWithMemberThatCrashesRunnersIsGivenUp(t *testing.T) {
 	h := newCrashHarness(t, 4)
 	step := newStep(3, 20_000)
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -8,9 +8,10 @@
 	// 1 MB, which includes their encoding as text and the other rows.
 	maxRowBytes    = 64 << 10
 	maxCommitBytes = 600_000
-	// idleTaskBytes bounds what a task that is not placed takes in its job's
-	// row, with its crash record, checkpointBytes what a checkpoint adds, and placedTaskBytes what the
-	// name and the address of a runner add. rowHeaderBytes bounds the rest.
+	// idleTaskBytes bounds what a task that is not placed takes in its job's row,
+	// with its crash record, checkpointBytes what a checkpoint adds, and
+	// placedTaskBytes what the name and the address of a runner add. rowHeaderBytes
+	// bounds the rest.
 	idleTaskBytes   = 12
 	checkpointBytes = 24
 	placedTaskBytes = 64
