review: a burst of large jobs stops all runners for good

Cause: a sync carries all unconfirmed starts with their payloads; over 2 MiB the frame is refused, the link ends and the same sync is sent again.

--- /dev/null
+++ b/review/_stand/cases.go
@@ -0,0 +1,343 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+func scenarios() map[string]scenario {
+	return map[string]scenario{
+		"large-jobs":    largeJobs(),
+		"dropped-route": droppedRoute(),
+		"foreign-beat":  foreignBeat(),
+		"shrunk-room":   shrunkRoom(),
+		"crashing-task": crashingTask(),
+	}
+}
+
+func fixedCPU(millis int) func(string) int { return func(string) int { return millis } }
+
+// largeJobs: several jobs of 800 small tasks come at once, or one after the
+// other. A job of tasks that last is at work before.
+func largeJobs() scenario {
+	const (
+		jobs    = 8
+		tasks   = 800
+		cpu     = 3
+		lasting = "00000000000000a9"
+	)
+	return scenario{
+		entries: 2,
+		runners: 3,
+		behave: func(task string, _ int) behaviour {
+			if strings.HasPrefix(task, lasting) {
+				return behaviour{tail: 20}
+			}
+			return behaviour{runtime: time.Second, how: "done"}
+		},
+		cpuOf: func(task string) int {
+			if strings.HasPrefix(task, lasting) {
+				return 2000
+			}
+			return cpu
+		},
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 2, 0), route("feed", 4, 0))
+			s.start()
+			s.warmUp("q")
+			feed := step(3, 2000)
+			feed["LongRunning"], feed["Image"], feed["TargetMs"] = true, "feed", 100
+			s.submit("feed", lasting, job(feed))
+			time.Sleep(2 * time.Second)
+			large := job(step(tasks, cpu))
+			large["Spec"] = strings.Repeat("x", 4000)
+			ids := []string{}
+			for i := range jobs {
+				ids = append(ids, fmt.Sprintf("%016x", 0xb0+i))
+			}
+			var group sync.WaitGroup
+			for _, id := range ids {
+				if trouble {
+					group.Go(func() { s.submit("q", id, large) })
+					continue
+				}
+				s.submit("q", id, large)
+				s.untilCompleted("q", id, 10*time.Second)
+			}
+			group.Wait()
+			s.rec.add("the traffic ends")
+			s.finish("q", ids, tasks*cpu)
+			s.checkLasting(lasting, 3, 2000)
+		},
+	}
+}
+
+// untilCompleted waits until a client is told that a job is completed.
+func (s *system) untilCompleted(queue, id string, limit time.Duration) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if s.state(0, queue, id) == "completed" {
+			return
+		}
+	}
+}
+
+const (
+	// finishS is how long after the end of the traffic jobs are asked for, and
+	// idleFor how long one may have nothing running then.
+	finishS = 14 * time.Second
+	idleFor = 3 * time.Second
+)
+
+// usage returns how many runs each job has at work, how much of the capacity is in
+// use and how much there is.
+func (s *system) usage(ids []string) (runs map[string]int, used, total int) {
+	runs = map[string]int{}
+	for _, r := range s.runners {
+		for i, id := range ids {
+			n, millis := r.running(id)
+			runs[id] += n
+			if i == 0 {
+				used += millis
+			}
+		}
+		r.mu.Lock()
+		total += r.capacity
+		r.mu.Unlock()
+	}
+	return runs, used, total
+}
+
+// finish waits for finishS from the end of the traffic and asks for the jobs. A job
+// that is not completed must not have nothing running for idleFor then, while there
+// is capacity for it twice over and under half of the capacity is in use.
+func (s *system) finish(queue string, ids []string, needs int) {
+	time.Sleep(finishS)
+	open := []string{}
+	for i, id := range ids {
+		state := s.state(i%len(s.callers), queue, id)
+		if state != "completed" {
+			open = append(open, id)
+		}
+		if state == "" || state == "failed" || state == "cancelled" {
+			s.report("LOST: job %s is %q after the end of the traffic", id, state)
+		}
+	}
+	idle := map[string]bool{}
+	for _, id := range open {
+		idle[id] = true
+	}
+	began := time.Now()
+	for time.Since(began) < idleFor+200*time.Millisecond {
+		runs, used, total := s.usage(open)
+		for _, id := range open {
+			if runs[id] > 0 || 2*used >= total || total-used < 2*needs {
+				idle[id] = false
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, id := range open {
+		if idle[id] && s.state(0, queue, id) != "completed" {
+			_, used, total := s.usage(open)
+			s.report("LOST: job %s has had nothing running for %.1f s, %.0f s after the end of the traffic, with %d of %d thousandths in use",
+				id, time.Since(began).Seconds(), finishS.Seconds(), used, total)
+		}
+	}
+	s.rec.add("%d of %d jobs are completed", len(ids)-len(open), len(ids))
+}
+
+// checkLasting checks that no task that lasts is down from 6 s after its last run on
+// for 3 s while there is capacity for it twice over.
+func (s *system) checkLasting(id string, tasks, cpu int) {
+	const after = 6 * time.Second
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range tasks {
+		task := fmt.Sprintf("%s.0.0.%d", id, i)
+		up := false
+		for _, l := range s.live {
+			up = up || l.task == task
+		}
+		if ended := s.endedAt[task]; !up && !ended.IsZero() && time.Since(ended) > after+idleFor {
+			s.broken("LOST: lasting task %s has not run for %.1f s", task, time.Since(ended).Seconds())
+		}
+	}
+}
+
+// droppedRoute: the operator removes the route of a running job and adds it again.
+func droppedRoute() scenario {
+	const id = "00000000000000c1"
+	return scenario{
+		entries: 2,
+		runners: 3,
+		behave: func(task string, run int) behaviour {
+			if strings.HasPrefix(task, id) && run < 4 {
+				return behaviour{runtime: time.Second, how: "failed"}
+			}
+			return behaviour{runtime: time.Second, how: "done"}
+		},
+		cpuOf: fixedCPU(500),
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 4, 0), route("other", 2, 0))
+			s.start()
+			s.warmUp("other")
+			s.submit("q", id, job(step(1, 500)))
+			if trouble {
+				s.configure(2, route("other", 2, 0))
+			}
+			time.Sleep(8 * time.Second)
+			if trouble {
+				s.configure(3, route("q", 4, 0), route("other", 2, 0))
+			}
+			time.Sleep(4 * time.Second)
+			for entry := range s.callers {
+				if state := s.state(entry, "q", id); state == "failed" {
+					s.mu.Lock()
+					s.broken("LOST: the job is shown as failed after %d of 4 attempts", len(s.starts[id+".0.0.0"]))
+					s.mu.Unlock()
+				}
+			}
+		},
+	}
+}
+
+// foreignBeat: an agent gets a heartbeat of another writer.
+func foreignBeat() scenario {
+	const id = "00000000000000d1"
+	return scenario{
+		entries: 2,
+		runners: 3,
+		behave: func(task string, _ int) behaviour {
+			if strings.HasPrefix(task, id) {
+				return behaviour{runtime: 15 * time.Second, how: "done"}
+			}
+			return behaviour{runtime: time.Second, how: "done"}
+		},
+		cpuOf: fixedCPU(500),
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 2, 0))
+			s.start()
+			s.warmUp("q")
+			s.submit("q", id, job(step(6, 500)))
+			time.Sleep(4 * time.Second)
+			if trouble {
+				r := s.runners[0]
+				r.mu.Lock()
+				body := r.heartbeatBody()
+				r.mu.Unlock()
+				body["Service"] = "elsewhere"
+				body["Seq"] = 1
+				body["born"] = time.Now().UnixMilli()
+				s.rec.add("another writer sends a heartbeat to the agent of %s for a service that isn't named", r.name)
+				if err := r.sendHeartbeat(context.Background(), "i-other", body); err != nil {
+					fail("%v", err)
+				}
+			}
+			time.Sleep(20 * time.Second)
+		},
+	}
+}
+
+// shrunkRoom: the rooms of all runners shrink a little, and a job comes whose task
+// fits into each of them.
+func shrunkRoom() scenario {
+	const (
+		id  = "00000000000000e1"
+		cpu = 30000
+	)
+	return scenario{
+		entries: 2,
+		runners: 3,
+		behave:  func(string, int) behaviour { return behaviour{runtime: time.Second, how: "done"} },
+		cpuOf: func(task string) int {
+			if strings.HasPrefix(task, id) {
+				return cpu
+			}
+			return 100
+		},
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 3, 2))
+			s.start()
+			s.warmUp("q")
+			if trouble {
+				for _, r := range s.runners {
+					r.mu.Lock()
+					r.capacity = 31000
+					r.mu.Unlock()
+				}
+				s.rec.add("the capacity of all runners shrinks from 32000 to 31000")
+				time.Sleep(5 * time.Second)
+			}
+			s.submit("q", id, job(step(1, cpu)))
+			s.rec.add("the traffic ends")
+			s.finish("q", []string{id}, cpu)
+		},
+	}
+}
+
+// crashingTask: a task crashes each runner that starts it, beside many sound ones.
+func crashingTask() scenario {
+	const (
+		id    = "00000000000000a1"
+		after = 600 * time.Millisecond
+		back  = 3 * time.Second
+		load  = 40
+		cpu   = 4000
+	)
+	return scenario{
+		entries: 2,
+		runners: 8,
+		behave: func(task string, _ int) behaviour {
+			if strings.HasPrefix(task, id) {
+				return behaviour{runtime: 3 * time.Second, how: "done", crashAfter: after}
+			}
+			return behaviour{runtime: 300 * time.Millisecond, how: "done"}
+		},
+		cpuOf: fixedCPU(cpu),
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 3, 0))
+			var mu sync.Mutex
+			crashes := 0
+			atThird := 0
+			for _, r := range s.runners {
+				r.onCrash = func(r *runner, task string) {
+					n := s.startCount(id + ".0.0.0")
+					mu.Lock()
+					crashes++
+					if crashes == 3 {
+						atThird = n
+					}
+					mu.Unlock()
+					go func() {
+						time.Sleep(back)
+						if err := r.start(r.id); err != nil {
+							s.rec.add("runner %s: %v", r.name, err)
+						}
+					}()
+				}
+			}
+			s.start()
+			s.warmUp("q")
+			for i := range load {
+				s.submit("q", fmt.Sprintf("00000000000003%02x", i), job(step(90, cpu)))
+				if trouble && i == 6 {
+					s.submit("q", id, job(step(1, cpu)))
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			starts := s.startCount(id + ".0.0.0")
+			s.rec.add("%d runners crashed under the task, which was started %d times", crashes, starts)
+			if atThird > 0 && starts-atThird >= 3 {
+				s.mu.Lock()
+				s.broken("BUDGET: the task was started %d times more after three runners had crashed under it", starts-atThird)
+				s.mu.Unlock()
+			}
+		},
+	}
+}
