review: show the stuck runners with smaller jobs

Done: the burst of case 1 is nearer to the site's, and without it the same jobs come at four a second.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -20,13 +20,15 @@
 
 func fixedCPU(millis int) func(string) int { return func(string) int { return millis } }
 
-// largeJobs: several jobs of 800 small tasks come at once, or one after the
-// other. A job of tasks that last is at work before.
+// largeJobs: 32 jobs of 64 small tasks come at once, or four in a second. A job of
+// tasks that last is at work before.
 func largeJobs() scenario {
 	const (
-		jobs    = 8
-		tasks   = 800
-		cpu     = 3
+		jobs  = 32
+		tasks = 64
+		cpu   = 15
+		// gap is the time between two jobs without the burst.
+		gap     = 250 * time.Millisecond
 		lasting = "00000000000000a9"
 	)
 	return scenario{
@@ -65,7 +67,7 @@
 					continue
 				}
 				s.submit("q", id, large)
-				s.untilCompleted("q", id, 10*time.Second)
+				time.Sleep(gap)
 			}
 			group.Wait()
 			s.rec.add("the traffic ends")
@@ -75,15 +77,6 @@
 	}
 }
 
-// untilCompleted waits until a client is told that a job is completed.
-func (s *system) untilCompleted(queue, id string, limit time.Duration) {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		if s.state(0, queue, id) == "completed" {
-			return
-		}
-	}
-}
-
 const (
 	// finishS is how long after the end of the traffic jobs are asked for, and
 	// idleFor how long one may have nothing running then.
