review: keep the burst of case 1 inside the site's figures

Cause: 32 jobs at once were more than 2.6 times the site's traffic in a second. Done: 22 jobs of 96 tasks.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -20,12 +20,12 @@
 
 func fixedCPU(millis int) func(string) int { return func(string) int { return millis } }
 
-// largeJobs: 32 jobs of 64 small tasks come at once, or four in a second. A job of
+// largeJobs: 22 jobs of 96 small tasks come at once, or four in a second. A job of
 // tasks that last is at work before.
 func largeJobs() scenario {
 	const (
-		jobs  = 32
-		tasks = 64
+		jobs  = 22
+		tasks = 96
 		cpu   = 15
 		// gap is the time between two jobs without the burst.
 		gap     = 250 * time.Millisecond
