review: a lasting task stays down when its runner is lost after the start

Cause: a start that no listing has shown yet is released only after the longest lease that a runner grants, and two seconds more. It takes the place of the crashing task, which stays in the stand-ins as crashing-task.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bilberrywalk ] && [ -x target/review-stand ] || { echo "build the project and review/build.sh first"; exit 2; }
-exec target/review-stand -case crashing-task -record review/5/record.txt
+exec target/review-stand -case lost-after-start -record review/5/record.txt
--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -10,11 +10,13 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"large-jobs":    largeJobs(),
-		"dropped-route": droppedRoute(),
-		"foreign-beat":  foreignBeat(),
-		"shrunk-room":   shrunkRoom(),
-		"crashing-task": crashingTask(),
+		"restarted-then-lost": restartedThenLost(),
+		"lost-after-start":    lostAfterStart(),
+		"large-jobs":          largeJobs(),
+		"dropped-route":       droppedRoute(),
+		"foreign-beat":        foreignBeat(),
+		"shrunk-room":         shrunkRoom(),
+		"crashing-task":       crashingTask(),
 	}
 }
 
@@ -334,3 +336,143 @@
 		},
 	}
 }
+
+// lostAfterStart: a runner is lost for good soon after it has started a task that
+// lasts.
+func lostAfterStart() scenario {
+	const (
+		id  = "00000000000000f1"
+		cpu = 6000
+		// lostAfter is how long after the start the runner is lost.
+		lostAfter = 150 * time.Millisecond
+		// from is how long after its last run a lasting task has to run again.
+		from = 6 * time.Second
+	)
+	return scenario{
+		entries:   2,
+		runners:   8,
+		maxHoldMs: 10000,
+		behave: func(task string, _ int) behaviour {
+			if strings.HasPrefix(task, id) {
+				return behaviour{tail: 20}
+			}
+			return behaviour{runtime: time.Second, how: "done"}
+		},
+		cpuOf: fixedCPU(cpu),
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 2, 0), route("feed", 4, 0))
+			lost := make(chan struct{})
+			var once sync.Once
+			for _, r := range s.runners {
+				started := r.onStart
+				r.onStart = func(r *runner, task string, run int) {
+					started(r, task, run)
+					if !strings.HasPrefix(task, id) {
+						return
+					}
+					once.Do(func() {
+						time.AfterFunc(lostAfter, func() {
+							if trouble {
+								r.crash("lost for good")
+							}
+							close(lost)
+						})
+					})
+				}
+			}
+			s.start()
+			s.warmUp("q")
+			time.Sleep(2 * time.Second)
+			feed := step(1, cpu)
+			feed["LongRunning"], feed["Image"], feed["TargetMs"] = true, "feed", 100
+			s.submit("feed", id, job(feed))
+			select {
+			case <-lost:
+			case <-time.After(10 * time.Second):
+				fail("the lasting task was not started")
+			}
+			time.Sleep(from)
+			s.watchLasting(id, 1, 12*time.Second)
+		},
+	}
+}
+
+// watchLasting checks that no lasting task is down for idleFor.
+func (s *system) watchLasting(id string, tasks int, during time.Duration) {
+	since := map[string]time.Time{}
+	reported := map[string]bool{}
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		up := map[string]bool{}
+		for _, l := range s.live {
+			up[l.task] = true
+		}
+		for i := range tasks {
+			task := fmt.Sprintf("%s.0.0.%d", id, i)
+			switch {
+			case up[task]:
+				delete(since, task)
+			case since[task].IsZero():
+				since[task] = time.Now()
+			case time.Since(since[task]) > idleFor && !reported[task]:
+				reported[task] = true
+				s.broken("LOST: lasting task %s does not run, %.1f s after its last run", task, time.Since(s.endedAt[task]).Seconds())
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// restartedThenLost: a runner restarts under its id, answers no call after that and is
+// then lost for good.
+func restartedThenLost() scenario {
+	const (
+		id   = "00000000000000f1"
+		cpu  = 6000
+		down = time.Second
+		mute = 3 * time.Second
+		// calm is how long after the last disruption a lasting task must run.
+		calm = 4 * time.Second
+	)
+	return scenario{
+		entries: 2,
+		runners: 8,
+		behave: func(task string, _ int) behaviour {
+			if strings.HasPrefix(task, id) {
+				return behaviour{tail: 20}
+			}
+			return behaviour{runtime: time.Second, how: "done"}
+		},
+		cpuOf: fixedCPU(cpu),
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 2, 0), route("feed", 4, 0))
+			s.start()
+			s.warmUp("q")
+			feed := step(1, cpu)
+			feed["LongRunning"], feed["Image"], feed["TargetMs"] = true, "feed", 100
+			s.submit("feed", id, job(feed))
+			time.Sleep(3 * time.Second)
+			var r *runner
+			for _, other := range s.runners {
+				if n, _ := other.running(id); n > 0 {
+					r = other
+				}
+			}
+			if r == nil {
+				fail("the lasting task is not at work")
+			}
+			if trouble {
+				r.crash("fault")
+				time.Sleep(down)
+				r.setMute(true)
+				if err := r.start(r.id); err != nil {
+					fail("%v", err)
+				}
+				time.Sleep(mute)
+				r.crash("lost for good")
+			}
+			time.Sleep(calm)
+			s.watchLasting(id, 1, 15*time.Second)
+		},
+	}
+}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -24,7 +24,9 @@
 	runners int
 	behave  func(task string, run int) behaviour
 	cpuOf   func(task string) int
-	play    func(s *system, trouble bool)
+	// maxHoldMs is the bound MaxHoldMs; 0 is the default.
+	maxHoldMs int64
+	play      func(s *system, trouble bool)
 }
 
 func main() {
@@ -59,7 +61,7 @@
 	}
 	rec := &record{w: file, began: time.Now()}
 	rec.add("case %s, trouble %v", name, trouble)
-	s := newSystem(rec, dir, sc.entries, sc.runners, sc.behave, sc.cpuOf)
+	s := newSystem(rec, dir, sc)
 	defer s.stop()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
--- a/review/_stand/runner.go
+++ b/review/_stand/runner.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	maxHoldMs    = 6000
 	heartbeat    = 1100 * time.Millisecond
 	stopDuration = 50 * time.Millisecond
 	advanceEvery = 5 * time.Millisecond
@@ -89,7 +88,11 @@
 	cancel   context.CancelFunc
 	lives    int
 	capacity int
-	memory   int
+	// maxHoldMs is the longest lease that it grants, in milliseconds.
+	maxHoldMs int64
+	// mute makes it leave all calls without an answer and without effect.
+	mute   bool
+	memory int
 }
 
 // start begins a new life of the runner.
@@ -229,12 +232,28 @@
 		return false
 	}
 	r.fence = c.Fence
-	r.leaseMs = max(r.leaseMs, min(c.UntilMs, r.clock(now)+maxHoldMs))
+	r.leaseMs = max(r.leaseMs, min(c.UntilMs, r.clock(now)+r.maxHoldMs))
 	return true
 }
 
-func decodeCall(w http.ResponseWriter, q *http.Request) (call, bool) {
+func (r *runner) setMute(mute bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mute = mute
+}
+
+func (r *runner) isMute() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mute
+}
+
+func (r *runner) decodeCall(w http.ResponseWriter, q *http.Request) (call, bool) {
 	var c call
+	if r.isMute() {
+		<-q.Context().Done()
+		return c, false
+	}
 	if json.NewDecoder(q.Body).Decode(&c) != nil {
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return c, false
@@ -243,7 +262,7 @@
 }
 
 func (r *runner) handleStart(w http.ResponseWriter, q *http.Request) {
-	c, ok := decodeCall(w, q)
+	c, ok := r.decodeCall(w, q)
 	if !ok {
 		return
 	}
@@ -274,7 +293,7 @@
 }
 
 func (r *runner) handleStop(w http.ResponseWriter, q *http.Request) {
-	c, ok := decodeCall(w, q)
+	c, ok := r.decodeCall(w, q)
 	if !ok {
 		return
 	}
@@ -294,7 +313,7 @@
 }
 
 func (r *runner) handlePace(w http.ResponseWriter, q *http.Request) {
-	c, ok := decodeCall(w, q)
+	c, ok := r.decodeCall(w, q)
 	if !ok {
 		return
 	}
@@ -312,7 +331,7 @@
 }
 
 func (r *runner) handleHold(w http.ResponseWriter, q *http.Request) {
-	c, ok := decodeCall(w, q)
+	c, ok := r.decodeCall(w, q)
 	if !ok {
 		return
 	}
--- a/review/_stand/system.go
+++ b/review/_stand/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,8 +63,13 @@
 	faults []string
 	// endedAt is when the last run of a task ended.
 	endedAt map[string]time.Time
+	// maxHoldMs is the longest lease that a runner grants, in milliseconds.
+	maxHoldMs int64
 }
 
+// defaultMaxHoldMs is the bound MaxHoldMs of condor-hq.
+const defaultMaxHoldMs = 6000
+
 // liveRun is a run that is at work.
 type liveRun struct {
 	runner string
@@ -117,7 +124,7 @@
 	os.Exit(exitNotRun)
 }
 
-func newSystem(rec *record, dir string, entries, runners int, behave func(task string, run int) behaviour, cpuOf func(task string) int) *system {
+func newSystem(rec *record, dir string, sc scenario) *system {
 	s := &system{
 		rec:    rec,
 		dir:    dir,
@@ -125,20 +132,22 @@
 		starts: map[string][]startEvent{},
 
 		endedAt: map[string]time.Time{},
+
+		maxHoldMs: cmp.Or(sc.maxHoldMs, defaultMaxHoldMs),
 	}
 	current = s
 	s.address = s.serve(s.store.handler())
-	for i := range entries {
+	for i := range sc.entries {
 		p := &process{name: fmt.Sprintf("front-%d", i+1), role: "entry"}
 		callers := freeAddress()
 		s.callers = append(s.callers, callers)
 		s.writeSettings(p, map[string]string{"Listen.Front": callers, "Listen.Readiness": freeAddress()})
 		s.entries = append(s.entries, p)
 	}
-	for i := range runners {
+	for i := range sc.runners {
 		r := &runner{
 			rec: rec, name: fmt.Sprintf("runner-%d", i+1), addr: freeAddress(), registry: freeAddress(), service: "polls",
-			labels: []string{"a", "r1-1"}, behave: behave, cpuOf: cpuOf, capacity: 32000, memory: 128000,
+			labels: []string{"a", "r1-1"}, behave: sc.behave, cpuOf: sc.cpuOf, maxHoldMs: s.maxHoldMs, capacity: 32000, memory: 128000,
 			onStart: s.runStarted, onEnd: s.runEnded, onCrash: func(*runner, string) {},
 		}
 		p := &process{name: fmt.Sprintf("side-%d", i+1), role: "agent"}
@@ -171,7 +180,7 @@
 	host, port, _ := net.SplitHostPort(freeAddress())
 	values := map[string]string{
 		"Node": p.name, "Zone": "north", "Ip": host, "InternalPorts.0": port, "platform.Addr": s.address,
-		"Bounds.MaxHoldMs": "6000", "Bounds.GraceS": "6", "Limits.CpuShare": "0.4",
+		"Bounds.MaxHoldMs": strconv.FormatInt(s.maxHoldMs, 10), "Bounds.GraceS": "6", "Limits.CpuShare": "0.4",
 	}
 	for k, v := range more {
 		values[k] = v
