review: remove the route of case 3 while the job is at work

Cause: it was removed at the moment of the job's acceptance. Done: half a second lies between them; case 2 says for how long both runs last.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -10,6 +10,7 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
+		"lost-after-restart":  lostAfterRestart(),
 		"restarted-then-lost": restartedThenLost(),
 		"lost-after-start":    lostAfterStart(),
 		"large-jobs":          largeJobs(),
@@ -180,6 +181,7 @@
 			s.start()
 			s.warmUp("other")
 			s.submit("q", id, job(step(1, 500)))
+			time.Sleep(500 * time.Millisecond)
 			if trouble {
 				s.configure(2, route("other", 2, 0))
 			}
@@ -476,3 +478,87 @@
 		},
 	}
 }
+
+// lostAfterRestart: the only runner with room restarts under its id, gets a task that
+// lasts, and is lost for good.
+func lostAfterRestart() scenario {
+	const (
+		blockers  = "00000000000000b1"
+		id        = "00000000000000f1"
+		cpu       = 6000
+		whole     = 32000
+		down      = time.Second
+		lostAfter = 1200 * time.Millisecond
+		from      = 6 * time.Second
+	)
+	return scenario{
+		entries:   2,
+		runners:   8,
+		maxHoldMs: 10000,
+		behave: func(task string, _ int) behaviour {
+			switch {
+			case strings.HasPrefix(task, id):
+				return behaviour{tail: 20}
+			case strings.HasPrefix(task, blockers):
+				return behaviour{runtime: 7 * time.Second, how: "done"}
+			default:
+				return behaviour{runtime: time.Second, how: "done"}
+			}
+		},
+		cpuOf: func(task string) int {
+			if strings.HasPrefix(task, blockers) {
+				return whole
+			}
+			return cpu
+		},
+		play: func(s *system, trouble bool) {
+			s.configure(1, route("q", 2, 0), route("feed", 4, 0))
+			lost := make(chan struct{})
+			var once sync.Once
+			for _, r := range s.runners {
+				started := r.onStart
+				r.onStart = func(r *runner, task string, run int) {
+					started(r, task, run)
+					if !strings.HasPrefix(task, id) {
+						return
+					}
+					once.Do(func() {
+						time.AfterFunc(lostAfter, func() {
+							if trouble {
+								r.crash("lost for good")
+							}
+							close(lost)
+						})
+					})
+				}
+			}
+			s.start()
+			s.warmUp("q")
+			s.submit("q", blockers, job(step(7, whole)))
+			time.Sleep(time.Second)
+			var free *runner
+			for _, r := range s.runners {
+				if n, _ := r.running(blockers); n == 0 {
+					free = r
+				}
+			}
+			if trouble {
+				free.crash("fault")
+				time.Sleep(down)
+				if err := free.start(free.id); err != nil {
+					fail("%v", err)
+				}
+			}
+			feed := step(1, cpu)
+			feed["LongRunning"], feed["Image"], feed["TargetMs"] = true, "feed", 100
+			s.submit("feed", id, job(feed))
+			select {
+			case <-lost:
+			case <-time.After(20 * time.Second):
+				fail("the lasting task was not started")
+			}
+			time.Sleep(from)
+			s.watchLasting(id, 1, 12*time.Second)
+		},
+	}
+}
