--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -10,6 +10,7 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
+		"paced-work":          pacedWork(),
 		"lost-after-restart":  lostAfterRestart(),
 		"restarted-then-lost": restartedThenLost(),
 		"lost-after-start":    lostAfterStart(),
@@ -562,3 +563,52 @@
 		},
 	}
 }
+
+// pacedWork: a task that fills is paced down beside one that serves and is over its
+// target, and the job of that one is then cancelled. Without the disruption, the
+// serving task stays below its target.
+func pacedWork() scenario {
+	const (
+		serves = "00000000000000f1"
+		fills  = "00000000000000f2"
+		cpu    = 8000
+		target = 100
+	)
+	over := 2 * target
+	return scenario{
+		entries: 2,
+		runners: 1,
+		behave: func(task string, _ int) behaviour {
+			switch {
+			case strings.HasPrefix(task, serves):
+				return behaviour{tail: over}
+			case strings.HasPrefix(task, fills):
+				return behaviour{runtime: 6 * time.Second, how: "done"}
+			default:
+				return behaviour{runtime: time.Second, how: "done"}
+			}
+		},
+		cpuOf: fixedCPU(cpu),
+		play: func(s *system, trouble bool) {
+			if !trouble {
+				over = target / 4
+			}
+			s.configure(1, route("q", 3, 2), route("feed", 4, 0))
+			s.start()
+			s.warmUp("q")
+			filling := step(1, cpu)
+			filling["Fills"], filling["Image"] = true, "fills"
+			s.submit("q", fills, job(filling))
+			time.Sleep(time.Second)
+			serving := step(1, cpu)
+			serving["LongRunning"], serving["Image"], serving["TargetMs"] = true, "serves", target
+			s.submit("feed", serves, job(serving))
+			time.Sleep(4 * time.Second)
+			s.request(0, "DELETE", "/feed/"+serves, nil)
+			time.Sleep(finishS + idleFor)
+			if state := s.state(0, "q", fills); state != "completed" {
+				s.report("job %s, 6 s of work, is %q %.0f s after the serving job was cancelled", fills, state, (finishS + idleFor).Seconds())
+			}
+		},
+	}
+}
