supervisor: an incarnation of the runner counts once it has answered a call

Callers saw: tasks that ran on two runners each for 4.8 s (TWICE), after one heartbeat of another writer with a runner's address reached the runner's agent.

cause: a runner's identity was taken from a heartbeat. The agent dropped the known incarnation for the one that the heartbeat named, and the owner took a report of another runner at the address for proof that the former one had ended.

ruled out: the unknown service. A heartbeat with a known service, or with the runner's id and a later start time, did the same.

change: a heartbeat of another incarnation is a claim, which the agent proves by a call under that id. The claimed start time in the answer replaces the known incarnation; 421 or another start time refutes the claim. The owner replaces earlier incarnations only by one that has listed its runs, otherwise their leases run out. Related paths: heartbeats that contradict what the known incarnation said of itself, another instance's address, a heartbeat without failure domain or start time. The harness of the agent's tests answers the probe; its checks are as strict as before, and the checks for malformed heartbeats now differ from a complete one in one field each.

conclusion: only the answer of the runner itself ends the former incarnation, so neither a late nor a foreign message can release its tasks.

--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -32,6 +32,8 @@
 	t    *testing.T
 	seed uint64
 	rnd  *rand.Rand
+	// foreignRnd decides on the heartbeats of other writers.
+	foreignRnd *rand.Rand
 	// lease is the lease that owners grant, and longestLease the longest one
 	// that runners accept.
 	lease        time.Duration
@@ -77,6 +79,7 @@
 		t:                t,
 		seed:             seed,
 		rnd:              rand.New(rand.NewPCG(seed, 77)),
+		foreignRnd:       rand.New(rand.NewPCG(seed, 78)),
 		lease:            grantedLease(longestLease),
 		longestLease:     longestLease,
 		specs:            map[string]scheduler.Spec{},
--- a/pkg/scheduler/incarnations_test.go
+++ b/pkg/scheduler/incarnations_test.go
@@ -75,6 +75,42 @@
 	})
 }
 
+// Guards against a task that runs twice because a runner is taken for replaced by another
+// one at its address, or under its id, that has answered no call.
+func TestRunnerThatHasListedNothingReplacesNone(t *testing.T) {
+	for name, id := range map[string]string{
+		"at the same address": "i-other",
+		"under the same id":   "i-x",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newCellHarness(t, "x", "y")
+			r := h.runners["x"]
+			r.Runner.Address = "10.0.0.1:80"
+			h.report("x")
+			h.cell.AgentDisconnected("y")
+			h.add("j", "checks", newStep(1, 500))
+			h.tickUntilIdle()
+			assert.Equal(t, len(h.acceptStarts("x")), 1)
+			h.report("y")
+			other := framer.Report{
+				Runner: r.Runner,
+			}
+			other.Runner.Key = framer.RunnerKey{
+				ID:              id,
+				StartedAtMillis: 2000,
+			}
+			h.cell.HandleReport(h.now, "x", other)
+			h.tickUntilIdle()
+			assert.Equal(t, len(h.acceptStarts("y")), 0)
+			assert.Equal(t, h.cell.Counts.Lost, int64(0))
+			other.Listed = true
+			h.cell.HandleReport(h.now, "x", other)
+			h.tickUntilIdle()
+			assert.Equal(t, h.cell.Counts.Crashes, int64(1))
+		})
+	}
+}
+
 func TestNewRunnerAtSameAddress(t *testing.T) {
 	h := newCellHarness(t, "x")
 	r := h.runners["x"]
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -14,7 +14,7 @@
 	if r.Runner.Key.ID == "" {
 		return
 	}
-	s := c.registerRunner(now, agent, r.Runner)
+	s := c.registerRunner(now, agent, r.Runner, r.Listed)
 	if r.ClockMillis > s.clockMillis {
 		s.clockMillis = r.ClockMillis
 		s.clockAt = now
@@ -60,8 +60,9 @@
 }
 
 // registerRunner updates the state of the runner incarnation that an agent
-// reports.
-func (c *Cell) registerRunner(now time.Time, agent string, info framer.RunnerInfo) *runnerState {
+// reports. It replaces earlier ones only once it has answered a call: until then, nothing
+// proves that it is there, and the leases of the earlier ones run on.
+func (c *Cell) registerRunner(now time.Time, agent string, info framer.RunnerInfo, answered bool) *runnerState {
 	s := c.runner(info.Key)
 	previous := c.agents[agent]
 	if previous != nil && previous != s {
@@ -71,7 +72,9 @@
 	before := s.info.Address
 	s.setInfo(info)
 	c.incarnations.moved(s, before)
-	c.replaceEarlier(now, s)
+	if answered {
+		c.replaceEarlier(now, s)
+	}
 	if !s.reported {
 		// The owner has granted it nothing yet, a former one may have.
 		s.leaseEnd = maxTime(s.leaseEnd, now.Add(c.maxLease()))
--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -133,8 +133,10 @@
 	}
 }
 
-// Heartbeat processes a heartbeat of the runner.
+// Heartbeat processes a heartbeat of the runner. The runner's address is the one that
+// the agent calls, whatever the heartbeat says.
 func (a *Agent) Heartbeat(ctx context.Context, b Heartbeat) error {
+	b.Info.Address = a.cfg.Runner
 	return a.loop.PostAndWait(ctx, func(now time.Time) {
 		before, known := a.core.Runner()
 		if !a.core.Heartbeat(now, b) {
@@ -142,7 +144,9 @@
 			return
 		}
 		if !known || before.Key != b.Info.Key {
-			a.log.Info("new runner incarnation", "runner", b.Info.Key.ID, "born-millis", b.Info.Key.StartedAtMillis, "service", b.Info.Service)
+			a.log.Info("runner incarnation claimed", "runner", b.Info.Key.ID, "born-millis", b.Info.Key.StartedAtMillis,
+				"service", b.Info.Service, "sequence", b.Sequence)
+			return
 		}
 		if b.Info.Draining && !before.Draining {
 			a.log.Info("runner draining", "runner", b.Info.Key.ID)
@@ -275,7 +279,11 @@
 }
 
 func (a *Agent) leaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
+	refuted := a.core.Counts.RefutedClaims
 	a.core.LeaseRenewed(now, call, l, err)
+	if call.Probe {
+		a.logProbe(call, l, err, a.core.Counts.RefutedClaims > refuted)
+	}
 	if len(l.Malformed) > 0 {
 		a.log.Error("rows of a listing skipped", "runner", call.Header.Runner.ID, "rows", len(l.Malformed), "error", l.Malformed[0])
 	}
@@ -284,6 +292,21 @@
 	}
 }
 
+// logProbe logs the result of a probe of a claimed incarnation.
+func (a *Agent) logProbe(call RenewCall, l Listing, err error, refuted bool) {
+	key := call.Header.Runner
+	known, _ := a.core.Runner()
+	switch {
+	case refuted:
+		a.log.Warn("claim of a runner incarnation refuted", "runner", key.ID, "born-millis", key.StartedAtMillis,
+			"refusal", l.Refusal, "answered-by-millis", l.StartedAtMillis, "known", known.Key.ID, "known-born-millis", known.Key.StartedAtMillis)
+	case known.Key == key:
+		a.log.Info("new runner incarnation", "runner", key.ID, "born-millis", key.StartedAtMillis, "service", known.Service)
+	default:
+		a.log.Debug("claim of a runner incarnation not answered", "runner", key.ID, "born-millis", key.StartedAtMillis, "refusal", l.Refusal, "error", err)
+	}
+}
+
 func (a *Agent) startAnswered(now time.Time, call StartCall, answer Answer, err error) {
 	a.core.StartAnswered(now, call, answer, err)
 	if err == nil && answer.Refusal == "" {
--- a/pkg/supervisor/agent_test.go
+++ b/pkg/supervisor/agent_test.go
@@ -32,6 +32,14 @@
 			},
 			Sequence: 1,
 		})
+		a.core.LeaseRenewed(now, RenewCall{
+			Header: CallHeader{
+				Runner: key,
+			},
+			Probe: true,
+		}, Listing{
+			StartedAtMillis: key.StartedAtMillis,
+		}, nil)
 		return a
 	}
 	sync := func(epoch uint64, refs ...framer.RunRef) framer.Sync {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -64,6 +64,8 @@
 	Header        CallHeader
 	AckedSequence int64
 	Wait          time.Duration
+	// Probe is set if the call only asks whether a claimed incarnation is there.
+	Probe bool
 }
 
 // StartCall requests the start of a run. Its result is passed to StartAnswered.
@@ -94,8 +96,12 @@
 	// answeredBy is the start time of another incarnation than the known one
 	// that answered a call to it, or 0 if none did.
 	answeredBy int64
-	// heartbeatAt is the time of the last accepted heartbeat, and rival the
-	// incarnation with an earlier start time that sent the last other one.
+	// claim is the incarnation that has not answered a call yet, or nil. probing is set
+	// while a probe has no result.
+	claim   *claim
+	probing bool
+	// heartbeatAt is the time of the last accepted heartbeat, and rival what the
+	// last other one says.
 	heartbeatAt time.Time
 	rival       rival
 	// heartbeatInterval is the mean time between the latest heartbeats.
@@ -150,9 +156,13 @@
 	LeaseRenewals      int64 `json:"holds"`
 	SpeedChanges       int64 `json:"paces"`
 	RunnerIncarnations int64 `json:"runner-lives"`
+	// Claims counts the incarnations that heartbeats named, RefutedClaims those that
+	// another one answered for.
+	Claims        int64 `json:"claims"`
+	RefutedClaims int64 `json:"refuted-claims"`
 }
 
-// NewCore returns the core of an agent that has received no heartbeat yet.
+// NewCore returns the core of an agent that knows no runner yet.
 func NewCore() *Core {
 	return &Core{
 		commands:          map[framer.RunRef]*command{},
@@ -161,8 +171,8 @@
 	}
 }
 
-// Runner returns the state in the runner's latest heartbeat and reports whether
-// there was one.
+// Runner returns the state in the latest heartbeat of the known incarnation and reports
+// whether there is one.
 func (c *Core) Runner() (framer.RunnerInfo, bool) {
 	return c.runner, c.known
 }
@@ -182,6 +192,9 @@
 		c.epoch = s.Epoch
 		c.nextRenewal = now
 		c.nextReport = now
+		if c.claim != nil {
+			c.claim.nextProbe = now
+		}
 	}
 	if !c.known || s.Runner != c.runner.Key {
 		return true
@@ -200,6 +213,7 @@
 func (c *Core) Tick(now time.Time) ([]Action, time.Duration) {
 	c.dropExpiredFences(now)
 	c.sendCommands(now)
+	c.probeClaim(now)
 	c.renewLease(now)
 	c.adjustSpeeds(now)
 	if c.known && !now.Before(c.nextReport) && !c.fencePending() {
@@ -216,6 +230,9 @@
 	if !c.renewing && c.nextRenewal.Before(next) {
 		next = c.nextRenewal
 	}
+	if c.claim != nil && !c.probing && c.claim.nextProbe.Before(next) {
+		next = c.claim.nextProbe
+	}
 	for _, cmd := range c.commands {
 		open := cmd.phase == phaseStopping || cmd.phase == phaseStarting && c.leaseUntilMillis > c.clockMillis
 		if open && !cmd.inFlight && cmd.retryAt.Before(next) {
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
@@ -17,18 +18,19 @@
 	heartbeatSmoothing = 4
 )
 
-// rival is an incarnation with an earlier start time than the known one.
+// rival is what contradicts the known incarnation: one with an earlier start time, or
+// another description of the same one.
 type rival struct {
-	key      framer.RunnerKey
+	info     framer.RunnerInfo
 	sequence int64
 	// heartbeats counts the heartbeats that arrived in order.
 	heartbeats int
 }
 
 func (r *rival) record(b Heartbeat) {
-	if r.key != b.Info.Key {
+	if r.info.Key != b.Info.Key || !sameDescription(r.info, b.Info) {
 		*r = rival{
-			key: b.Info.Key,
+			info: b.Info,
 		}
 	}
 	if b.Sequence > r.sequence {
@@ -37,45 +39,62 @@
 	}
 }
 
+// alone reports whether only the rival has sent heartbeats for some time.
+func (r *rival) alone(now, knownHeartbeatAt time.Time) bool {
+	return r.heartbeats >= minHeartbeats && now.Sub(knownHeartbeatAt) >= maxHeartbeatSilence
+}
+
 // Heartbeat processes a heartbeat of the runner and reports whether it was
 // accepted. A heartbeat of an earlier incarnation, or one that arrives out of
-// order, is ignored.
+// order, is ignored. One of another incarnation is a claim until that incarnation
+// answers a call.
 func (c *Core) Heartbeat(now time.Time, b Heartbeat) bool {
 	key := b.Info.Key
+	if c.known && key == c.runner.Key {
+		return c.updateKnown(now, b)
+	}
 	if c.known && c.presumedEarlier(key) && !c.replacesKnown(now, b) {
 		return false
 	}
-	sameIncarnation := c.known && key == c.runner.Key
-	if sameIncarnation && b.Sequence <= c.heartbeatSequence {
+	return c.claimIncarnation(now, b)
+}
+
+// updateKnown applies a heartbeat of the known incarnation, unless it arrives out of
+// order or contradicts the earlier ones.
+func (c *Core) updateKnown(now time.Time, b Heartbeat) bool {
+	if !sameDescription(b.Info, c.runner) {
+		if !c.replacesDescription(now, b) {
+			return false
+		}
+	} else if b.Sequence <= c.heartbeatSequence {
 		return false
 	}
-	if !sameIncarnation {
-		c.replaced = c.runner.Key
-		c.resetForIncarnation(now, key.ID == c.runner.Key.ID)
-	}
-	c.recordInterval(now, sameIncarnation)
+	interval := c.heartbeatInterval + (now.Sub(c.heartbeatAt)-c.heartbeatInterval)/heartbeatSmoothing
+	c.heartbeatInterval = max(minHeartbeatInterval, interval)
 	c.heartbeatAt = now
 	c.rival = rival{}
-	if sameIncarnation && !holds(b.Info, c.runner) {
+	if !holds(b.Info, c.runner) {
 		c.shrunkAt = now
 	}
-	changed := !sameIncarnation || b.Info.Draining != c.runner.Draining || !holds(b.Info, c.runner) || !holds(c.runner, b.Info)
-	c.known = true
-	c.runner = b.Info
-	c.heartbeatSequence = b.Sequence
-	if changed {
+	if b.Info.Draining != c.runner.Draining || !holds(b.Info, c.runner) || !holds(c.runner, b.Info) {
 		c.nextReport = now
 	}
+	c.runner = b.Info
+	c.heartbeatSequence = b.Sequence
 	return true
 }
 
-// recordInterval updates the mean time between heartbeats.
-func (c *Core) recordInterval(now time.Time, sameIncarnation bool) {
-	interval := minHeartbeatInterval
-	if sameIncarnation {
-		interval = c.heartbeatInterval + (now.Sub(c.heartbeatAt)-c.heartbeatInterval)/heartbeatSmoothing
-	}
-	c.heartbeatInterval = max(minHeartbeatInterval, interval)
+// sameDescription reports whether two heartbeats agree in what doesn't change during
+// an incarnation.
+func sameDescription(a, b framer.RunnerInfo) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.FailureDomain == b.FailureDomain && slices.Equal(a.Labels, b.Labels)
+}
+
+// replacesDescription reports whether a heartbeat with another description of the known
+// incarnation is to be believed: only such ones have arrived for some time.
+func (c *Core) replacesDescription(now time.Time, b Heartbeat) bool {
+	c.rival.record(b)
+	return c.rival.alone(now, c.heartbeatAt)
 }
 
 // holds reports whether a runner has at least the capacity of another one.
@@ -96,9 +115,7 @@
 // it has sent heartbeats for some time.
 func (c *Core) replacesKnown(now time.Time, b Heartbeat) bool {
 	c.rival.record(b)
-	answers := b.Info.Key.StartedAtMillis == c.answeredBy
-	alone := c.rival.heartbeats >= minHeartbeats && now.Sub(c.heartbeatAt) >= maxHeartbeatSilence
-	return answers || alone
+	return b.Info.Key.StartedAtMillis == c.answeredBy || c.rival.alone(now, c.heartbeatAt)
 }
 
 // RunnerLeft records that the runner has left. The notice names no incarnation.
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -40,10 +40,10 @@
 }
 
 // listingWait returns how long the runner may wait for a run to finish before
-// it responds. The first listing, and one after a request without a response, is
-// requested without a wait, since no run is started until there is one.
+// it responds. A listing after a request without a response is requested without a
+// wait, since no run is started until there is one.
 func (c *Core) listingWait() time.Duration {
-	if c.listedAt.IsZero() || c.unansweredRenewals > 0 {
+	if c.unansweredRenewals > 0 {
 		return 0
 	}
 	for _, cmd := range c.commands {
@@ -63,6 +63,10 @@
 // LeaseRenewed processes the result of a lease renewal; err is set if there was
 // no response.
 func (c *Core) LeaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
+	if call.Probe {
+		c.probeAnswered(now, call, l, err)
+		return
+	}
 	c.renewing = false
 	if call.Header.Runner != c.runner.Key {
 		return
@@ -78,6 +82,11 @@
 		c.nextRenewal = now.Add(renewBackoff)
 		return
 	}
+	c.listed(now, call, l)
+}
+
+// listed applies a listing of the known incarnation.
+func (c *Core) listed(now time.Time, call RenewCall, l Listing) {
 	c.listedAt = now
 	if call.Header.Epoch != c.listedEpoch {
 		c.listedEpoch = call.Header.Epoch
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -73,8 +73,8 @@
 steps='TestStepsUnderFaults'
 guard unconfirmed-start-is-stopped-first pkg/supervisor/commands.go 's/if cmd.mayHaveStarted \{/if false {/' pkg/supervisor TestRepeatedStart
 guard silent-runner-starts-nothing pkg/supervisor/commands.go 's#now.Sub\(c.listedAt\) <= listingTTL#true#' pkg/supervisor TestSilentRunner
-guard stepped-back-runner-is-accepted pkg/supervisor/heartbeat.go 's/return answers .. alone/_ = alone; return answers/' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
-guard late-heartbeats-replace-no-runner pkg/supervisor/heartbeat.go 's/c.rival.heartbeats >= minHeartbeats .. //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
+guard stepped-back-runner-is-accepted pkg/supervisor/heartbeat.go 's/ .. c.rival.alone\(now, c.heartbeatAt\)$//' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
+guard late-heartbeats-replace-no-runner pkg/supervisor/heartbeat.go 's/r.heartbeats >= minHeartbeats .. //' pkg/supervisor TestRunnerWithEarlierStartTimeIsAccepted
 guard fences-expire pkg/supervisor/commands.go 's/return cmd.fence \&\& !cmd.requested/return false \&\& !cmd.requested/' pkg/supervisor TestRestartedRunnerThatRefusesStopsIsReported
 guard refused-stop-is-resolved pkg/supervisor/listing.go 's/overdue := cmd.phase == phaseStopping/overdue := false/' pkg/supervisor TestRefusedStopIsResolved
 guard listed-run-is-started pkg/supervisor/commands.go 's/if contains\(c.running, start.RunRef\) \{/if false {/' pkg/supervisor TestListedRunIsNotStartedAgain
@@ -109,7 +109,7 @@
 guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
 guard late-failures-are-no-evidence pkg/scheduler/finished_run.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
 guard idle-jobs-probe pkg/scheduler/quarantined_choice.go 's/ \|\| w.job.placed == 0//' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
-guard first-listing-does-not-wait pkg/supervisor/listing.go 's/c.listedAt.IsZero\(\)/false/' pkg/supervisor TestNewRunnerIsReportedAtOnce
+guard first-listing-does-not-wait pkg/supervisor/claim.go 's/^\t\t\tProbe: true,/Probe: true, Wait: renewWait,/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/return longest$/return time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
@@ -174,5 +174,12 @@
 guard shrunk-runner-gets-no-start pkg/scheduler/sync.go 's/^\tc.withdrawStarts\(s\)//' pkg/scheduler TestStartsAreWithdrawnFromShrunkRunner
 guard start-needs-recent-heartbeat pkg/supervisor/commands.go 's/now.Sub\(c.heartbeatAt\) <= c.heartbeatInterval\+maxHeartbeatDelay/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
 guard start-is-requested-again-after-shrink pkg/supervisor/commands.go 's/cmd.requestedAt.Sub\(c.shrunkAt\) >= shrinkHold/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
+guard claimed-incarnation-has-to-answer pkg/supervisor/claim.go 's/^\tc.claim.receivedAt = now$/\tc.claim.receivedAt = now\n\tc.replaceKnown(now)/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
+guard other-answer-refutes-a-claim pkg/supervisor/claim.go 's/case otherID .. l.StartedAtMillis != call.Header.Runner.StartedAtMillis:/case otherID:/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
+guard description-is-not-replaced-at-once pkg/supervisor/heartbeat.go 's/if !c.replacesDescription\(now, b\) \{/if false {/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
+guard unanswered-probe-is-sent-again pkg/supervisor/claim.go 's/^\t\tc.claim.nextProbe = now.Add\(renewBackoff\)/\t\tc.claim = nil/' pkg/supervisor TestClaimsDelayNoSoundRunner
+guard claims-hold-starts pkg/supervisor/commands.go 's/ \&\& !c.claimedAgain\(\)//' pkg/supervisor TestNoStartWhileIncarnationIsClaimed
+guard runner-without-answer-replaces-none pkg/scheduler/report.go 's/^\tif answered \{/\tif true {/' pkg/scheduler TestRunnerThatHasListedNothingReplacesNone
+guard foreign-heartbeats-run-nothing-twice pkg/supervisor/claim.go 's/^\tc.claim.receivedAt = now$/\tc.claim.receivedAt = now\n\tc.replaceKnown(now)/' pkg/experimenter TestStepsUnderFaults
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
