scheduler: a job keeps the terms of a queue that was dropped

Callers saw: a job with `MaxAttempts` 4 shown as failed after 2 failures, since its route was removed for 8 s (LOST).

cause: the present configuration alone gave a job its limit of failures, rank and time objective. Of a dropped queue only the service was kept; the rest became defaults (2 failures, the most urgent rank). An entry that started later knew nothing of the queue.

ruled out: failures counted twice, and an end by the removal itself: the runs are numbers 1 and 2, and the job goes on running after the removal.

change: the last known version of each queue is kept whole, and the job's row states the terms of its acceptance. Cell.terms decides for failures, rank and objective alike, so that `MaxAttempts` 1 holds too (no second start, BUDGET) and a dropped queue's jobs don't overtake urgent ones. Rows of earlier versions have the former defaults.

conclusion: what a job may do no longer depends on when its queue was removed or who owns the cell.

--- a/pkg/controller/cell_play_test.go
+++ b/pkg/controller/cell_play_test.go
@@ -154,10 +154,12 @@
 	p.cell.SetQueues(&scheduler.Queues{
 		Version: 1,
 		List: []scheduler.Queue{{
-			Name:        "q",
-			Service:     "s",
-			MaxFailures: 2,
-			Stretch:     2,
+			Name:    "q",
+			Service: "s",
+			Terms: scheduler.Terms{
+				MaxFailures: 2,
+				Stretch:     2,
+			},
 		}},
 	})
 	for id, spec := range p.specs {
--- a/pkg/controller/loading_test.go
+++ b/pkg/controller/loading_test.go
@@ -143,5 +143,5 @@
 			Value:   []byte(service),
 		}})
 	}
-	assert.Equal(t, h.entry.Queues().ServiceOf("checks", "polls"), "moved")
+	assert.Equal(t, h.entry.Queues().LastKnown("checks").Service, "moved")
 }
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -99,11 +99,13 @@
 	sim.queues = &scheduler.Queues{
 		Version: 1,
 		List: []scheduler.Queue{{
-			Name:          "q",
-			Service:       "s",
-			MaxFailures:   stepsMaxFailures,
-			Stretch:       2,
-			TargetLatency: time.Second,
+			Name:    "q",
+			Service: "s",
+			Terms: scheduler.Terms{
+				MaxFailures:   stepsMaxFailures,
+				Stretch:       2,
+				TargetLatency: time.Second,
+			},
 		}},
 	}
 	for range agents {
--- a/pkg/experimenter/steps_waiting_test.go
+++ b/pkg/experimenter/steps_waiting_test.go
@@ -37,7 +37,7 @@
 	queue := sim.queues.List[0]
 	background := queue
 	background.Name = "background"
-	background.Urgency = 2
+	background.Terms.Urgency = 2
 	sim.queues.List = []scheduler.Queue{queue, background}
 	for range minRunners {
 		sim.addRunner("s")
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// defaultMaxFailures applies to jobs whose queue is no longer configured.
-	defaultMaxFailures = 2
 	// longRunningRestartDelay keeps a long-running task that exits at once from
 	// being restarted in a tight loop.
 	longRunningRestartDelay = 200 * time.Millisecond
@@ -332,13 +330,24 @@
 	c.markChanged(t.job)
 }
 
-// queue returns the queue of a job, or nil if it is no longer configured.
-func (c *Cell) queue(j *job) *Queue {
-	return c.queues.Named(j.spec.Queue)
+// terms returns the terms of a job: those of its queue, the last ones if it was dropped,
+// or else those under which the job was accepted.
+func (c *Cell) terms(j *job) Terms {
+	if q := c.queues.LastKnown(j.spec.Queue); q != nil {
+		return q.Terms
+	}
+	if j.spec.Terms != (Terms{}) {
+		return j.spec.Terms
+	}
+	return defaultTerms()
 }
 
+// service returns the service whose runners run a job, by the same rule as terms.
 func (c *Cell) service(j *job) string {
-	return c.queues.ServiceOf(j.spec.Queue, j.spec.Service)
+	if q := c.queues.LastKnown(j.spec.Queue); q != nil {
+		return q.Service
+	}
+	return j.spec.Service
 }
 
 // Tick releases the runs of runners whose leases have expired and, if mayPlace
--- a/pkg/scheduler/cell_harness_test.go
+++ b/pkg/scheduler/cell_harness_test.go
@@ -70,19 +70,23 @@
 		Version: 1,
 		List: []Queue{
 			{
-				Name:          "checks",
-				Service:       "polls",
-				MaxFailures:   2,
-				Stretch:       1.5,
-				TargetLatency: 250 * time.Millisecond,
+				Name:    "checks",
+				Service: "polls",
+				Terms: Terms{
+					MaxFailures:   2,
+					Stretch:       1.5,
+					TargetLatency: 250 * time.Millisecond,
+				},
 			},
 			{
-				Name:          "reviews",
-				Service:       "polls",
-				Urgency:       2,
-				MaxFailures:   2,
-				Stretch:       2,
-				TargetLatency: time.Second,
+				Name:    "reviews",
+				Service: "polls",
+				Terms: Terms{
+					Urgency:       2,
+					MaxFailures:   2,
+					Stretch:       2,
+					TargetLatency: time.Second,
+				},
 			},
 		},
 	}
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -93,11 +93,7 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
-	limit := defaultMaxFailures
-	if q := c.queue(t.job); q != nil {
-		limit = max(1, q.MaxFailures)
-	}
-	if t.failures >= limit && !t.job.state.Final() {
+	if t.failures >= c.terms(t.job).MaxFailures && !t.job.state.Final() {
 		c.endJob(now, t.job, StateFailed)
 	}
 }
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -63,8 +63,10 @@
 type Spec struct {
 	ID    string `cbor:"id"`
 	Queue string `cbor:"queue"`
-	// Service is the service of the queue when the job was accepted.
+	// Service is the service of the queue when the job was accepted, and Terms are its
+	// other properties then.
 	Service string `cbor:"service"`
+	Terms   Terms  `cbor:"terms,omitzero"`
 	Payload string `cbor:"payload"`
 	Steps   []Step `cbor:"steps"`
 	// RunCount is the number of scheduled occurrences of the steps; zero means
@@ -134,6 +136,28 @@
 	EndedAtMillis int64 `cbor:"ended-at-millis,omitempty"`
 }
 
+// Terms are the properties of a queue that decide how its jobs run.
+type Terms struct {
+	// Urgency is the rank of the queue; zero is the most urgent.
+	Urgency int `cbor:"urgency,omitempty"`
+	// MaxFailures is the number of failed runs of one task at which the job
+	// fails.
+	MaxFailures int `cbor:"max-failures,omitempty"`
+	// Stretch and TargetLatency give the time objective of a job: Stretch times
+	// the duration of its longest chain of steps, plus TargetLatency.
+	Stretch       float64       `cbor:"stretch,omitempty"`
+	TargetLatency time.Duration `cbor:"target-latency,omitempty"`
+}
+
+// defaultTerms apply to jobs whose queue is not known and whose row states no terms.
+func defaultTerms() Terms {
+	return Terms{
+		MaxFailures:   2,
+		Stretch:       2,
+		TargetLatency: time.Second,
+	}
+}
+
 // Queue is a queue of jobs as configured by operators.
 type Queue struct {
 	Name string
@@ -142,15 +166,7 @@
 	Prefix string
 	// Service is the service whose runners run the queue's tasks.
 	Service string
-	// Urgency is the rank of the queue; zero is the most urgent.
-	Urgency int
-	// MaxFailures is the number of failed runs of one task at which the job
-	// fails.
-	MaxFailures int
-	// Stretch and TargetLatency give the time objective of a job: Stretch times
-	// the duration of its longest chain of steps, plus TargetLatency.
-	Stretch       float64
-	TargetLatency time.Duration
+	Terms   Terms
 }
 
 // Queues is one version of the queue configuration.
@@ -159,9 +175,9 @@
 	List    []Queue
 	// MaxBodyBytes limits the size of a caller's request body.
 	MaxBodyBytes int
-	// former holds the last service of each queue that earlier versions had and
-	// this one lacks. Its jobs are still to be run.
-	former map[string]string
+	// former holds the queues that earlier versions had, as the last of them had
+	// them. The jobs of those that this one lacks are still to be run.
+	former map[string]*Queue
 }
 
 // Succeed records the queues of an earlier version that this one lacks.
@@ -171,23 +187,20 @@
 	}
 	q.former = maps.Clone(earlier.former)
 	if q.former == nil {
-		q.former = map[string]string{}
+		q.former = map[string]*Queue{}
 	}
 	for i := range earlier.List {
-		q.former[earlier.List[i].Name] = earlier.List[i].Service
+		q.former[earlier.List[i].Name] = &earlier.List[i]
 	}
 }
 
-// ServiceOf returns the service of the queue with the given name, or its last one
-// if it was dropped; otherwise is the service if no known version has the queue.
-func (q *Queues) ServiceOf(name, otherwise string) string {
+// LastKnown returns the queue with the given name, as it was last if it was dropped,
+// or nil if no known version has it.
+func (q *Queues) LastKnown(name string) *Queue {
 	if queue := q.Named(name); queue != nil {
-		return queue.Service
-	}
-	if service, ok := q.former[name]; ok {
-		return service
+		return queue
 	}
-	return otherwise
+	return q.former[name]
 }
 
 // Match returns the queue for a request's host and path, and the path without
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -185,13 +185,9 @@
 	if r.dueAt.After(from) {
 		from = r.dueAt
 	}
-	stretch, target := 2.0, time.Second
-	if q := c.queue(j); q != nil {
-		w.urgency = q.Urgency
-		stretch = q.Stretch
-		target = q.TargetLatency
-	}
-	objective := time.Duration(stretch*float64(j.chain)) + target
+	terms := c.terms(j)
+	w.urgency = terms.Urgency
+	objective := time.Duration(terms.Stretch*float64(j.chain)) + terms.TargetLatency
 	w.dueBy = from.Add(objective)
 	if j.spec.Steps[number].LongRunning {
 		return w
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -238,7 +238,7 @@
 		})
 	case 4:
 		queues := testQueues()
-		queues.List[1].Urgency = p.rnd.IntN(3)
+		queues.List[1].Terms.Urgency = p.rnd.IntN(3)
 		p.both(func(c *Cell) { c.SetQueues(queues) })
 	case 5:
 		id := fmt.Sprintf("j%03d", p.rnd.IntN(p.jobs+1))
--- a/pkg/scheduler/trial.go
+++ b/pkg/scheduler/trial.go
@@ -25,9 +25,7 @@
 		job:        t.job,
 		occurrence: t.occurrence,
 		step:       t.step,
-	}
-	if q := c.queue(t.job); q != nil {
-		w.urgency = q.Urgency
+		urgency:    c.terms(t.job).Urgency,
 	}
 	var best *runnerState
 	var least exposure
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -313,9 +313,7 @@
 		occurrence: t.occurrence,
 		step:       t.step,
 		starved:    c.keepsRunning(t.job),
-	}
-	if q := c.queue(t.job); q != nil {
-		w.urgency = q.Urgency
+		urgency:    c.terms(t.job).Urgency,
 	}
 	for _, s := range c.runners {
 		if s.info.Service != service {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -135,7 +135,7 @@
 guard small-entry-yields pkg/controller/owner.go 's/lease.UnchangedFor\(now\) - yield/lease.UnchangedFor(now)/' pkg/controller TestSmallEntryYieldsToLargerOnes
 guard models-fit-into-writes pkg/controller/learned_models.go 's/size > limit/size < 0/' pkg/controller TestModelsOfManyImagesAreStored
 guard writes-have-few-entries pkg/controller/learned_models.go 's/min\(modelWriteRows, len\(models.Images\)\)/models.Images/' pkg/controller TestWritesHaveNoMoreEntriesThanAllowed
-guard dropped-queue-keeps-its-service pkg/scheduler/job.go 's/if service, ok := q.former\[name\]; ok/if service, ok := q.former[name]; false \&\& ok/' pkg/scheduler TestTaskFollowsItsQueue
+guard dropped-queue-keeps-its-service pkg/scheduler/job.go 's/return q.former\[name\]$/return nil/' pkg/scheduler TestTaskFollowsItsQueue
 guard next-version-succeeds pkg/controller/entry.go 's/queues.Succeed\(e.queues\)//' pkg/controller TestDroppedQueueKeepsItsLastService
 guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
@@ -181,5 +181,8 @@
 guard claims-hold-starts pkg/supervisor/commands.go 's/ \&\& !c.claimedAgain\(\)//' pkg/supervisor TestNoStartWhileIncarnationIsClaimed
 guard runner-without-answer-replaces-none pkg/scheduler/report.go 's/^\tif answered \{/\tif true {/' pkg/scheduler TestRunnerThatHasListedNothingReplacesNone
 guard foreign-heartbeats-run-nothing-twice pkg/supervisor/claim.go 's/^\tc.claim.receivedAt = now$/\tc.claim.receivedAt = now\n\tc.replaceKnown(now)/' pkg/experimenter TestStepsUnderFaults
+guard dropped-queue-keeps-its-terms pkg/scheduler/job.go 's/return q.former\[name\]$/return nil/' pkg/scheduler 'TestJobOfDroppedQueueKeepsIts(MaxFailures|Rank)'
+guard unknown-queue-has-the-accepted-terms pkg/scheduler/cell.go 's/if j.spec.Terms != \(Terms\{\}\) \{/if false {/' pkg/scheduler TestJobOfDroppedQueueKeepsItsMaxFailures
+guard accepted-terms-are-stored platform/ingress.go '/^\t\tTerms: /d' platform TestJobIsStoredWithTheTermsOfItsQueue
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
