supervisor: a foreign claim takes the place of no other claim

Callers would see: a task that runs again after its completion was acknowledged (TWICE), if another writer's heartbeat follows each of the first ones of a restarted runner.

cause: the agent kept one claim, so a foreign heartbeat displaced the one of the runner's new incarnation, which was then known, and its late starts stopped, seconds later.

ruled out: a late start that nobody could stop; the agent had it on record.

change: up to 8 claims are kept side by side and probed in turn.

--- a/pkg/supervisor/claim.go
+++ b/pkg/supervisor/claim.go
@@ -1,9 +1,15 @@
 package supervisor
 
 import (
+	"slices"
 	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
+// maxClaims bounds the claims that are kept at a time; the oldest is dropped.
+const maxClaims = 8
+
 // claim is an incarnation of the runner that heartbeats name and that has not answered
 // a call yet. A heartbeat may be late, or come from another writer. Only the answer to a
 // call for the incarnation proves that it has replaced the known one.
@@ -14,40 +20,61 @@
 	nextProbe  time.Time
 }
 
+func (l *claim) key() framer.RunnerKey {
+	return l.heartbeat.Info.Key
+}
+
 // claimIncarnation records a heartbeat of another incarnation than the known one and
-// reports whether it was accepted. The last claim replaces the one before.
+// reports whether it was accepted.
 func (c *Core) claimIncarnation(now time.Time, b Heartbeat) bool {
-	if c.claim == nil || c.claim.heartbeat.Info.Key != b.Info.Key {
+	claimed := c.claimOf(b.Info.Key)
+	if claimed != nil && b.Sequence <= claimed.heartbeat.Sequence {
+		return false
+	}
+	if claimed == nil {
 		c.Counts.Claims++
-		c.claim = &claim{
+		claimed = &claim{
 			nextProbe: now,
 		}
-	} else if b.Sequence <= c.claim.heartbeat.Sequence {
-		return false
+		c.claims = append(c.claims, claimed)
+		c.claims = c.claims[max(0, len(c.claims)-maxClaims):]
 	}
-	c.claim.heartbeat = b
-	c.claim.receivedAt = now
+	claimed.heartbeat = b
+	claimed.receivedAt = now
 	return true
 }
 
-// probeClaim asks the runner for a listing of the claimed incarnation when that is due.
-// It drops a claim without heartbeats.
-func (c *Core) probeClaim(now time.Time) {
-	if c.claim == nil || c.probing {
-		return
+// claimOf returns the claim of an incarnation, or nil.
+func (c *Core) claimOf(key framer.RunnerKey) *claim {
+	for _, claimed := range c.claims {
+		if claimed.key() == key {
+			return claimed
+		}
 	}
-	if now.Sub(c.claim.receivedAt) >= maxHeartbeatSilence {
-		c.claim = nil
-		return
+	return nil
+}
+
+// nextClaim returns the claim that is to be probed first, or nil.
+func (c *Core) nextClaim() *claim {
+	if len(c.claims) == 0 {
+		return nil
 	}
-	if now.Before(c.claim.nextProbe) {
+	return slices.MinFunc(c.claims, func(a, b *claim) int { return a.nextProbe.Compare(b.nextProbe) })
+}
+
+// probeClaims asks the runner for a listing of a claimed incarnation when that is due. It
+// drops claims without heartbeats.
+func (c *Core) probeClaims(now time.Time) {
+	c.claims = slices.DeleteFunc(c.claims, func(l *claim) bool { return now.Sub(l.receivedAt) >= maxHeartbeatSilence })
+	claimed := c.nextClaim()
+	if c.probing || claimed == nil || now.Before(claimed.nextProbe) {
 		return
 	}
 	c.probing = true
 	c.actions = append(c.actions, Action{
 		Renew: &RenewCall{
 			Header: CallHeader{
-				Runner: c.claim.heartbeat.Info.Key,
+				Runner: claimed.key(),
 				Epoch:  c.epoch,
 			},
 			Probe: true,
@@ -58,34 +85,35 @@
 // probeAnswered processes the result of a probe; err is set if there was no response.
 func (c *Core) probeAnswered(now time.Time, call RenewCall, l Listing, err error) {
 	c.probing = false
-	if c.claim == nil || c.claim.heartbeat.Info.Key != call.Header.Runner {
+	claimed := c.claimOf(call.Header.Runner)
+	if claimed == nil {
 		return
 	}
 	otherID := l.Refusal == RefusalWrongIncarnation
 	answered := l.Refusal == "" && l.StartedAtMillis != 0
-	switch {
-	case err != nil || !otherID && !answered:
-		c.claim.nextProbe = now.Add(renewBackoff)
-	case otherID || l.StartedAtMillis != call.Header.Runner.StartedAtMillis:
+	if err != nil || !otherID && !answered {
+		claimed.nextProbe = now.Add(renewBackoff)
+		return
+	}
+	c.claims = slices.DeleteFunc(c.claims, func(l *claim) bool { return l == claimed })
+	if otherID || l.StartedAtMillis != call.Header.Runner.StartedAtMillis {
 		c.Counts.RefutedClaims++
-		c.claim = nil
-	default:
-		c.replaceKnown(now)
-		c.listed(now, call, l)
+		return
 	}
+	c.replaceKnown(now, claimed)
+	c.listed(now, call, l)
 }
 
-// replaceKnown replaces the known incarnation by the claimed one.
-func (c *Core) replaceKnown(now time.Time) {
-	b := c.claim.heartbeat
+// replaceKnown replaces the known incarnation by a claimed one.
+func (c *Core) replaceKnown(now time.Time, claimed *claim) {
+	b := claimed.heartbeat
 	c.replaced = c.runner.Key
 	c.resetForIncarnation(now, b.Info.Key.ID == c.runner.Key.ID)
 	c.known = true
 	c.runner = b.Info
 	c.heartbeatSequence = b.Sequence
 	c.heartbeatInterval = minHeartbeatInterval
-	c.heartbeatAt = c.claim.receivedAt
-	c.claim = nil
+	c.heartbeatAt = claimed.receivedAt
 	c.rival = rival{}
 	c.nextReport = now
 }
@@ -93,5 +121,5 @@
 // claimedAgain reports whether another incarnation with the known one's id may have
 // replaced it. A call cannot name one of the two.
 func (c *Core) claimedAgain() bool {
-	return c.claim != nil && c.claim.heartbeat.Info.Key.ID == c.runner.Key.ID
+	return slices.ContainsFunc(c.claims, func(l *claim) bool { return l.key().ID == c.runner.Key.ID })
 }
--- a/pkg/supervisor/claim_test.go
+++ b/pkg/supervisor/claim_test.go
@@ -131,14 +131,32 @@
 		})
 		assert.Equal(t, h.takeAction(isProbe).Renew.Header.Epoch, uint64(4))
 	})
-	t.Run("the last claim counts", func(t *testing.T) {
+	t.Run("a claim of another writer takes the place of none", func(t *testing.T) {
 		h, _ := newRunningHarness(t)
-		h.heartbeat("i-other", 9000, false)
-		h.heartbeat("i-1", 8000, false)
-		h.answerProbe(Listing{}, errNoAnswer)
-		h.answerProbe(Listing{
-			StartedAtMillis: 8000,
-		}, nil)
+		own := Heartbeat{
+			Info:     h.core.runner,
+			Sequence: 1,
+		}
+		own.Info.Key.StartedAtMillis = 8000
+		h.core.Heartbeat(h.now, own)
+		for i := range int64(3) {
+			h.foreign(func(b *Heartbeat) { b.Info.Key.StartedAtMillis = 9000 + i })
+		}
+		for range 4 {
+			h.answerProbe(Listing{
+				StartedAtMillis: 8000,
+			}, nil)
+		}
+		h.key = own.Info.Key
+		assertKnown(t, h)
+		assert.Equal(t, h.core.Counts.RefutedClaims, int64(3))
+	})
+	t.Run("nor do many, and few of them are kept", func(t *testing.T) {
+		h, _ := newRunningHarness(t)
+		for i := range int64(3 * maxClaims) {
+			h.foreign(func(b *Heartbeat) { b.Info.Key.StartedAtMillis = 9000 + i })
+		}
+		assert.Equal(t, len(h.core.claims), maxClaims)
 		assertKnown(t, h)
 	})
 	t.Run("a description that is contradicted for long is replaced", func(t *testing.T) {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -96,9 +96,9 @@
 	// answeredBy is the start time of another incarnation than the known one
 	// that answered a call to it, or 0 if none did.
 	answeredBy int64
-	// claim is the incarnation that has not answered a call yet, or nil. probing is set
+	// claims are the incarnations that have not answered a call yet. probing is set
 	// while a probe has no result.
-	claim   *claim
+	claims  []*claim
 	probing bool
 	// heartbeatAt is the time of the last accepted heartbeat, and rival what the
 	// last other one says.
@@ -192,8 +192,8 @@
 		c.epoch = s.Epoch
 		c.nextRenewal = now
 		c.nextReport = now
-		if c.claim != nil {
-			c.claim.nextProbe = now
+		for _, claimed := range c.claims {
+			claimed.nextProbe = now
 		}
 	}
 	if !c.known || s.Runner != c.runner.Key {
@@ -213,7 +213,7 @@
 func (c *Core) Tick(now time.Time) ([]Action, time.Duration) {
 	c.dropExpiredFences(now)
 	c.sendCommands(now)
-	c.probeClaim(now)
+	c.probeClaims(now)
 	c.renewLease(now)
 	c.adjustSpeeds(now)
 	if c.known && !now.Before(c.nextReport) && !c.fencePending() {
@@ -230,8 +230,8 @@
 	if !c.renewing && c.nextRenewal.Before(next) {
 		next = c.nextRenewal
 	}
-	if c.claim != nil && !c.probing && c.claim.nextProbe.Before(next) {
-		next = c.claim.nextProbe
+	if claimed := c.nextClaim(); claimed != nil && !c.probing && claimed.nextProbe.Before(next) {
+		next = claimed.nextProbe
 	}
 	for _, cmd := range c.commands {
 		open := cmd.phase == phaseStopping || cmd.phase == phaseStarting && c.leaseUntilMillis > c.clockMillis
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -174,13 +174,14 @@
 guard shrunk-runner-gets-no-start pkg/scheduler/sync.go 's/^\tc.withdrawStarts\(s\)//' pkg/scheduler TestStartsAreWithdrawnFromShrunkRunner
 guard start-needs-recent-heartbeat pkg/supervisor/commands.go 's/now.Sub\(c.heartbeatAt\) <= c.heartbeatInterval\+maxHeartbeatDelay/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
 guard start-is-requested-again-after-shrink pkg/supervisor/commands.go 's/cmd.requestedAt.Sub\(c.shrunkAt\) >= shrinkHold/true/' pkg/supervisor TestStartWaitsForCurrentCapacity
-guard claimed-incarnation-has-to-answer pkg/supervisor/claim.go 's/^\tc.claim.receivedAt = now$/\tc.claim.receivedAt = now\n\tc.replaceKnown(now)/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
-guard other-answer-refutes-a-claim pkg/supervisor/claim.go 's/case otherID .. l.StartedAtMillis != call.Header.Runner.StartedAtMillis:/case otherID:/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
+guard claimed-incarnation-has-to-answer pkg/supervisor/claim.go 's/^\tclaimed.receivedAt = now$/\tclaimed.receivedAt = now\n\tc.replaceKnown(now, claimed)/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
+guard other-answer-refutes-a-claim pkg/supervisor/claim.go 's/if otherID .. l.StartedAtMillis != call.Header.Runner.StartedAtMillis \{/if otherID {/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
 guard description-is-not-replaced-at-once pkg/supervisor/heartbeat.go 's/if !c.replacesDescription\(now, b\) \{/if false {/' pkg/supervisor TestHeartbeatOfAnotherWriterReplacesNoRunner
-guard unanswered-probe-is-sent-again pkg/supervisor/claim.go 's/^\t\tc.claim.nextProbe = now.Add\(renewBackoff\)/\t\tc.claim = nil/' pkg/supervisor TestClaimsDelayNoSoundRunner
+guard unanswered-probe-is-sent-again pkg/supervisor/claim.go 's/^\t\tclaimed.nextProbe = now.Add\(renewBackoff\)/\t\tc.claims = nil/' pkg/supervisor TestClaimsDelayNoSoundRunner
+guard claims-are-kept-beside-others pkg/supervisor/claim.go 's/^const maxClaims = 8/const maxClaims = 1/' pkg/supervisor TestClaimsDelayNoSoundRunner
 guard claims-hold-starts pkg/supervisor/commands.go 's/ \&\& !c.claimedAgain\(\)//' pkg/supervisor TestNoStartWhileIncarnationIsClaimed
 guard runner-without-answer-replaces-none pkg/scheduler/report.go 's/^\tif answered \{/\tif true {/' pkg/scheduler TestRunnerThatHasListedNothingReplacesNone
-guard foreign-heartbeats-run-nothing-twice pkg/supervisor/claim.go 's/^\tc.claim.receivedAt = now$/\tc.claim.receivedAt = now\n\tc.replaceKnown(now)/' pkg/experimenter TestStepsUnderFaults
+guard foreign-heartbeats-run-nothing-twice pkg/supervisor/claim.go 's/^\tclaimed.receivedAt = now$/\tclaimed.receivedAt = now\n\tc.replaceKnown(now, claimed)/' pkg/experimenter TestStepsUnderFaults
 guard dropped-queue-keeps-its-terms pkg/scheduler/job.go 's/return q.former\[name\]$/return nil/' pkg/scheduler 'TestJobOfDroppedQueueKeepsIts(MaxFailures|Rank)'
 guard unknown-queue-has-the-accepted-terms pkg/scheduler/cell.go 's/if j.spec.Terms != \(Terms\{\}\) \{/if false {/' pkg/scheduler TestJobOfDroppedQueueKeepsItsMaxFailures
 guard accepted-terms-are-stored platform/ingress.go '/^\t\tTerms: /d' platform TestJobIsStoredWithTheTermsOfItsQueue
