supervisor, scheduler: an accepted start is listed at once, and its wait is bounded

Callers saw: a lasting task that was down for 12.4 s, with seven empty runners, since its runner was lost 0.15 s after the start (LOST).

cause: a start that no listing shows yet may have reached a later incarnation under the same id, where its lease is the longest that the platform permits. The owner waited for the last listing + 1.5 s + 0.5 s + that lease. The listing came up to a second after the start, as the open request waits for a run to end, and the agent, which is there and has seen no later incarnation, counted for nothing.

ruled out: a late notice of the loss (`task waits` names the runner after 3 s).

change: the agent requests a listing beside the open renewal once a start is accepted; earlier listings that arrive later are ignored, and a stop is resolved by the number of the call. Cell.runEnd is the one rule for when a run has ended: an unlisted run waits for the longest lease only if its agent's link was interrupted since the start or the agent has not reported for 1.5 s.

conclusion: the wait no longer grows with the platform's longest lease, but if the agent is lost in the milliseconds between a start and its listing.

--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -125,6 +125,76 @@
 	assert.Equal(t, h.cell.Counts.Lost, int64(1))
 }
 
+// Guards against a long-running task that is down for the longest lease that the platform
+// permits, since its runner was lost between the start and the next listing. The agent that
+// requested the start is there and would have seen a later incarnation.
+func TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports(t *testing.T) {
+	const (
+		reports = iota + 1
+		silent
+		unlinked
+	)
+	for _, longestLease := range []time.Duration{10 * time.Second, 30 * time.Second} {
+		// lostAfter returns when the run counts as lost, from when the runner was.
+		lostAfter := func(t *testing.T, agent func(since time.Duration) int) time.Duration {
+			h := newCellHarness(t, "a")
+			h.cell.cfg.LongestLease = longestLease
+			h.advance(time.Second)
+			h.add("j", "checks", newStep(1, 500))
+			h.tickUntilIdle()
+			assert.Equal(t, len(h.cell.Sync(h.now, "a", true).Starts), 1)
+			lostAt, r := h.now, h.runners["a"]
+			clock := r.ClockMillis
+			for h.cell.Counts.Lost == 0 && h.now.Sub(lostAt) < 2*longestLease {
+				h.now = h.now.Add(100 * time.Millisecond)
+				switch agent(h.now.Sub(lostAt)) {
+				case reports:
+					r.ListingAgeMillis = h.now.Sub(lostAt).Milliseconds()
+					r.Unanswered = true
+					r.ClockMillis = clock
+					r.Listed = true
+					h.cell.HandleReport(h.now, "a", *r)
+				case unlinked:
+					h.cell.AgentDisconnected("a")
+				default:
+				}
+				h.cell.Tick(h.now, true)
+			}
+			return h.now.Sub(lostAt)
+		}
+		name := longestLease.String()
+		t.Run(name+", the agent reports", func(t *testing.T) {
+			after := lostAfter(t, func(time.Duration) int { return reports })
+			assert.Assert(t, after <= MaxLease(testLease)+500*time.Millisecond, "after %s", after)
+		})
+		for what, agent := range map[string]func(since time.Duration) int{
+			"the agent is lost": func(since time.Duration) int {
+				if since < time.Second {
+					return reports
+				}
+				return unlinked
+			},
+			"the agent may have been replaced": func(since time.Duration) int {
+				if since == time.Second {
+					return unlinked
+				}
+				return reports
+			},
+			"the agent is cut off": func(since time.Duration) int {
+				if since < time.Second {
+					return reports
+				}
+				return silent
+			},
+		} {
+			t.Run(name+", "+what, func(t *testing.T) {
+				after := lostAfter(t, agent)
+				assert.Assert(t, after > listingTTL+maxCallTime+MaxLease(longestLease), "after %s", after)
+			})
+		}
+	}
+}
+
 // TestLongRunningTaskAvoidsRestartedRunner guards against the incident LOST: the
 // tasks of a runner that is lost soon after a restart under its id wait for longer.
 func TestLongRunningTaskAvoidsRestartedRunner(t *testing.T) {
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -24,7 +24,7 @@
 
 func (c *Cell) expireLeases(now time.Time) {
 	for _, s := range c.runners {
-		if !now.After(s.leaseEnd) || !now.After(s.delayedLeaseEnd) {
+		if !now.After(maxTime(s.leaseEnd, s.delayedLeaseEnd)) {
 			continue
 		}
 		c.loseExpiredRuns(now, s)
@@ -36,14 +36,9 @@
 	}
 }
 
-// loseExpiredRuns releases the tasks of a runner whose lease has expired. A start
-// that the runner has not listed may have reached a later incarnation under the
-// same id, by whose clock its lease is the longest that a runner grants.
+// loseExpiredRuns releases the tasks of a runner whose lease has expired.
 func (c *Cell) loseExpiredRuns(now time.Time, s *runnerState) {
-	unlistedEnd := s.listedAt.Add(listingTTL + maxCallTime + MaxLease(c.cfg.LongestLease))
-	lost := slices.DeleteFunc(s.placed(), func(t *task) bool {
-		return t.startSent && !t.listed && !now.After(unlistedEnd)
-	})
+	lost := slices.DeleteFunc(s.placed(), func(t *task) bool { return !now.After(c.runEnd(now, s, t)) })
 	c.recordLapse(now, s, lost)
 	for _, t := range lost {
 		if t.runner == s {
@@ -52,6 +47,26 @@
 	}
 }
 
+// runEnd returns when the run of a task on a runner has certainly ended, provided that the
+// runner's leases have expired. A start that the runner has not listed may have reached a
+// later incarnation under the same id, by whose clock its lease is the longest that a
+// runner grants. The agent that requested it would have learned of that incarnation, and
+// would have stopped the run there, unless that agent may be gone.
+func (c *Cell) runEnd(now time.Time, s *runnerState, t *task) time.Time {
+	ends := maxTime(s.leaseEnd, s.delayedLeaseEnd)
+	if t.startSent && !t.listed && !s.watchedSince(now, t.ref()) {
+		ends = maxTime(ends, s.listedAt.Add(listingTTL+maxCallTime+MaxLease(c.cfg.LongestLease)))
+	}
+	return ends
+}
+
+// watchedSince reports whether the agent to which this owner sent the start of a run has
+// reported to it without interruption since then, and has seen no later incarnation.
+func (s *runnerState) watchedSince(now time.Time, ref framer.RunRef) bool {
+	sentAt, sent := s.startsSent[ref]
+	return sent && s.agent != "" && !sentAt.Before(s.linkedAt) && now.Sub(s.reportedAt) <= listingTTL
+}
+
 // DelayedLeases returns when the last lease expires that a delayed call for an
 // earlier incarnation can have granted a runner, by the runner's id.
 func (c *Cell) DelayedLeases(now time.Time) map[string]time.Time {
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -66,7 +66,7 @@
 	s := c.runner(info.Key)
 	previous := c.agents[agent]
 	if previous != nil && previous != s {
-		previous.setAgent("")
+		previous.unlinked()
 	}
 	draining := info.Draining && !s.info.Draining
 	before := s.info.Address
@@ -81,7 +81,7 @@
 		c.cfg.LogEvent("runner registered", "runner", info.Key.ID, "born-millis", info.Key.StartedAtMillis, "agent", agent)
 	}
 	s.reported = true
-	s.setAgent(agent)
+	s.reportedBy(now, agent)
 	c.agents[agent] = s
 	if info.Left {
 		s.limitLeases(now.Add(leaveMargin))
@@ -107,7 +107,7 @@
 // AgentDisconnected records that the link to an agent is down.
 func (c *Cell) AgentDisconnected(agent string) {
 	if s := c.agents[agent]; s != nil {
-		s.setAgent("")
+		s.unlinked()
 		delete(c.agents, agent)
 	}
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -31,8 +31,11 @@
 	// reported is set once an agent has reported this incarnation.
 	reported bool
 	// agent is the address of the agent that reports the runner, or empty while
-	// there is no link to that agent.
-	agent string
+	// there is no link to that agent. The link has been open since linkedAt, and the
+	// last report came at reportedAt.
+	agent      string
+	linkedAt   time.Time
+	reportedAt time.Time
 	// listedAt is when the runner last listed its runs, and listings counts the
 	// listings.
 	listedAt time.Time
@@ -329,15 +332,23 @@
 	s.info = info
 }
 
-// setAgent records which agent reports the runner; empty for none.
-func (s *runnerState) setAgent(agent string) {
+// reportedBy records that an agent has reported the runner.
+func (s *runnerState) reportedBy(now time.Time, agent string) {
+	s.reportedAt = now
 	if s.agent == agent {
 		return
 	}
 	s.agent = agent
+	s.linkedAt = now
 	s.index.improved(s)
-	if agent != "" {
-		s.needsSync()
+	s.needsSync()
+}
+
+// unlinked records that no agent reports the runner any more.
+func (s *runnerState) unlinked() {
+	if s.agent != "" {
+		s.agent = ""
+		s.index.improved(s)
 	}
 }
 
--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -281,7 +281,7 @@
 func (a *Agent) leaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
 	refuted := a.core.Counts.RefutedClaims
 	a.core.LeaseRenewed(now, call, l, err)
-	if call.Probe {
+	if call.Purpose == PurposeProbe {
 		a.logProbe(call, l, err, a.core.Counts.RefutedClaims > refuted)
 	}
 	if len(l.Malformed) > 0 {
@@ -301,7 +301,8 @@
 		a.log.Warn("claim of a runner incarnation refuted", "runner", key.ID, "born-millis", key.StartedAtMillis,
 			"refusal", l.Refusal, "answered-by-millis", l.StartedAtMillis, "known", known.Key.ID, "known-born-millis", known.Key.StartedAtMillis)
 	case known.Key == key:
-		a.log.Info("new runner incarnation", "runner", key.ID, "born-millis", key.StartedAtMillis, "service", known.Service)
+		a.log.Info("new runner incarnation", "runner", key.ID, "born-millis", key.StartedAtMillis, "service", known.Service,
+			"clock-millis", l.ClockMillis)
 	default:
 		a.log.Debug("claim of a runner incarnation not answered", "runner", key.ID, "born-millis", key.StartedAtMillis, "refusal", l.Refusal, "error", err)
 	}
--- a/pkg/supervisor/agent_test.go
+++ b/pkg/supervisor/agent_test.go
@@ -36,7 +36,7 @@
 			Header: CallHeader{
 				Runner: key,
 			},
-			Probe: true,
+			Purpose: PurposeProbe,
 		}, Listing{
 			StartedAtMillis: key.StartedAtMillis,
 		}, nil)
--- a/pkg/supervisor/claim.go
+++ b/pkg/supervisor/claim.go
@@ -77,7 +77,7 @@
 				Runner: claimed.key(),
 				Epoch:  c.epoch,
 			},
-			Probe: true,
+			Purpose: PurposeProbe,
 		},
 	})
 }
--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -51,6 +51,8 @@
 	// resolve the command.
 	verifyAfter uint64
 	requested   bool
+	// listed is set once the runner has listed the run.
+	listed bool
 	// fence marks a run whose start was sent to an earlier incarnation of the
 	// runner and that must not start in this one.
 	fence bool
@@ -209,7 +211,7 @@
 	}
 	if a.Refusal == "" {
 		cmd.phase = phaseStarted
-		c.scheduleReport(now)
+		c.verifyDue = true
 		return
 	}
 	c.Counts.Refusals++
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -64,10 +64,25 @@
 	Header        CallHeader
 	AckedSequence int64
 	Wait          time.Duration
-	// Probe is set if the call only asks whether a claimed incarnation is there.
-	Probe bool
+	// Purpose is why the runner is called; Number counts the calls to the known
+	// incarnation.
+	Purpose RenewPurpose
+	Number  uint64
 }
 
+// RenewPurpose is why a lease renewal is requested.
+type RenewPurpose int
+
+const (
+	// PurposeRenew: the lease is to be renewed, and finished runs are waited for.
+	PurposeRenew RenewPurpose = iota + 1
+	// PurposeProbe: a claimed incarnation is asked whether it is there.
+	PurposeProbe
+	// PurposeVerify: the runner accepted a start, and its listing is to show that it
+	// was the known incarnation that did.
+	PurposeVerify
+)
+
 // StartCall requests the start of a run. Its result is passed to StartAnswered.
 type StartCall struct {
 	Header CallHeader
@@ -116,8 +131,10 @@
 	// listedAt is the time of the latest listing of this incarnation of the
 	// runner.
 	listedAt time.Time
-	// listedEpoch is the epoch of the call that the latest listing answered.
+	// listedEpoch is the epoch of the call that the latest listing answered, and
+	// listedClock the reading of the runner's clock in it.
 	listedEpoch uint64
+	listedClock int64
 
 	epoch            uint64
 	leaseUntilMillis int64
@@ -136,6 +153,10 @@
 	throttler         *throttler
 
 	renewing bool
+	// verifying is set while a listing is requested beside the renewals, and
+	// verifyDue if the next one is due.
+	verifying bool
+	verifyDue bool
 	// unansweredRenewals counts the latest lease renewals without a response.
 	unansweredRenewals int
 	renewCalls         uint64
@@ -215,6 +236,7 @@
 	c.sendCommands(now)
 	c.probeClaims(now)
 	c.renewLease(now)
+	c.verifyStarts()
 	c.adjustSpeeds(now)
 	if c.known && !now.Before(c.nextReport) && !c.fencePending() {
 		c.report(now)
--- a/pkg/supervisor/core_test.go
+++ b/pkg/supervisor/core_test.go
@@ -113,7 +113,7 @@
 }
 
 func isRenewal(a Action) bool { return a.Renew != nil }
-func isProbe(a Action) bool   { return a.Renew != nil && a.Renew.Probe }
+func isProbe(a Action) bool   { return a.Renew != nil && a.Renew.Purpose == PurposeProbe }
 func isStart(a Action) bool   { return a.Start != nil }
 func isStop(a Action) bool    { return a.Stop != nil }
 
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -142,6 +142,8 @@
 	c.clockMillis = 0
 	c.listedAt = time.Time{}
 	c.listedEpoch = 0
+	c.listedClock = 0
+	c.verifyDue = false
 	c.unansweredRenewals = 0
 	c.ackedSequence = 0
 	c.deliveredAckSequence = 0
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -17,14 +17,35 @@
 		return
 	}
 	c.renewing = true
+	c.requestListing(RenewCall{
+		AckedSequence: c.ackToSend(),
+		Wait:          c.listingWait(),
+		Purpose:       PurposeRenew,
+	})
+	c.verifyDue = false
+}
+
+// verifyStarts requests a listing beside the open renewal, which may be answered late, if
+// the runner has accepted a start since the last request. Until the run is listed, nothing
+// proves which incarnation has it.
+func (c *Core) verifyStarts() {
+	if !c.verifyDue || c.verifying || !c.known || c.runner.Left {
+		return
+	}
+	c.verifyDue = false
+	c.verifying = true
+	c.requestListing(RenewCall{
+		Purpose: PurposeVerify,
+	})
+}
+
+func (c *Core) requestListing(call RenewCall) {
 	c.renewCalls++
 	c.Counts.LeaseRenewals++
+	call.Header = c.callHeader()
+	call.Number = c.renewCalls
 	c.actions = append(c.actions, Action{
-		Renew: &RenewCall{
-			Header:        c.callHeader(),
-			AckedSequence: c.ackToSend(),
-			Wait:          c.listingWait(),
-		},
+		Renew: &call,
 	})
 }
 
@@ -40,10 +61,11 @@
 }
 
 // listingWait returns how long the runner may wait for a run to finish before
-// it responds. A listing after a request without a response is requested without a
-// wait, since no run is started until there is one.
+// it responds. A listing after a request without a response, or after an accepted start,
+// is requested without a wait: no run is started until there is one, or nothing proves
+// where the run is.
 func (c *Core) listingWait() time.Duration {
-	if c.unansweredRenewals > 0 {
+	if c.unansweredRenewals > 0 || c.verifyDue {
 		return 0
 	}
 	for _, cmd := range c.commands {
@@ -63,30 +85,46 @@
 // LeaseRenewed processes the result of a lease renewal; err is set if there was
 // no response.
 func (c *Core) LeaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
-	if call.Probe {
+	switch call.Purpose {
+	case PurposeProbe:
 		c.probeAnswered(now, call, l, err)
 		return
+	case PurposeVerify:
+		c.verifying = false
+	default:
+		c.renewing = false
 	}
-	c.renewing = false
 	if call.Header.Runner != c.runner.Key {
 		return
 	}
-	c.countUnanswered(now, err)
-	if err != nil || l.Refusal != "" {
+	if call.Purpose == PurposeVerify {
+		// The accepted start is reported in any case.
+		c.scheduleReport(now)
+	} else {
+		c.countUnanswered(now, err)
 		c.nextRenewal = now.Add(renewBackoff)
+	}
+	if err != nil || l.Refusal != "" {
 		return
 	}
 	if l.StartedAtMillis != 0 && l.StartedAtMillis != c.runner.Key.StartedAtMillis {
 		// Another incarnation responded; its own heartbeat will follow.
 		c.answeredBy = l.StartedAtMillis
-		c.nextRenewal = now.Add(renewBackoff)
 		return
 	}
+	if call.Purpose != PurposeVerify {
+		c.nextRenewal = now
+	}
 	c.listed(now, call, l)
 }
 
-// listed applies a listing of the known incarnation.
+// listed applies a listing of the known incarnation, unless the runner made it before the
+// last one.
 func (c *Core) listed(now time.Time, call RenewCall, l Listing) {
+	if l.ClockMillis < c.listedClock {
+		return
+	}
+	c.listedClock = l.ClockMillis
 	c.listedAt = now
 	if call.Header.Epoch != c.listedEpoch {
 		c.listedEpoch = call.Header.Epoch
@@ -95,15 +133,17 @@
 	c.advanceClock(l.ClockMillis)
 	c.deliveredAckSequence = max(c.deliveredAckSequence, call.AckedSequence)
 	hasNew := c.applyListing(l)
-	c.resolveVerifying(now, l)
+	c.resolveVerifying(now, call, l)
+	if hasNew {
+		c.scheduleReport(now)
+	}
+	if call.Purpose == PurposeVerify {
+		return
+	}
 	c.throttler.measure(now, l.Running)
-	c.nextRenewal = now
 	if len(c.finished) > 0 && c.deliveredAckSequence >= c.ackedSequence {
 		c.nextRenewal = now.Add(renewBackoff)
 	}
-	if hasNew {
-		c.scheduleReport(now)
-	}
 }
 
 // countUnanswered counts lease renewals without a response. The owner learns at
@@ -121,7 +161,7 @@
 }
 
 // applyListing stores the running and finished runs and reports whether a
-// finished run is new.
+// finished run, or one that was to be started, is new.
 func (c *Core) applyListing(l Listing) bool {
 	latest := int64(0)
 	for _, e := range c.finished {
@@ -138,7 +178,13 @@
 		hasNew = hasNew || e.Sequence > latest
 	}
 	for _, r := range l.Running {
-		if cmd := c.commands[r.RunRef]; cmd != nil && cmd.phase == phaseStarting {
+		cmd := c.commands[r.RunRef]
+		if cmd == nil || cmd.listed {
+			continue
+		}
+		cmd.listed = true
+		hasNew = true
+		if cmd.phase == phaseStarting {
 			cmd.phase = phaseStarted
 		}
 	}
@@ -150,12 +196,12 @@
 // that. A stop that the runner does not confirm counts as confirmed once no start
 // of the run can arrive any more. A listing that may lack runs or ends resolves
 // none.
-func (c *Core) resolveVerifying(now time.Time, l Listing) {
+func (c *Core) resolveVerifying(now time.Time, call RenewCall, l Listing) {
 	if len(l.Finished) >= maxListedEnds || len(l.Malformed) > 0 {
 		return
 	}
 	for ref, cmd := range c.commands {
-		confirmed := cmd.phase == phaseVerifying && c.renewCalls >= cmd.verifyAfter
+		confirmed := cmd.phase == phaseVerifying && call.Number >= cmd.verifyAfter
 		overdue := cmd.phase == phaseStopping && !cmd.fence && now.Sub(cmd.startSentAt) > unconfirmedStartTTL+renewWait
 		if !confirmed && !overdue {
 			continue
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -109,7 +109,7 @@
 guard current-run-is-not-unexpected pkg/scheduler/report.go '/^\ts.removeUnexpected\(status.RunRef\)$/d' pkg/scheduler TestListedRunOfLoadedJobIsNotUnexpected
 guard late-failures-are-no-evidence pkg/scheduler/finished_run.go 's/ \&\& now.Sub\(t.listedSince\) >= provenWork/ \&\& false/' pkg/scheduler TestLateFailuresOfLongRunningTasksCountAgainstNoRunner
 guard idle-jobs-probe pkg/scheduler/quarantined_choice.go 's/ \|\| w.job.placed == 0//' pkg/scheduler TestLongRunningTasksRunAgainAfterFaults
-guard first-listing-does-not-wait pkg/supervisor/claim.go 's/^\t\t\tProbe: true,/Probe: true, Wait: renewWait,/' pkg/supervisor TestNewRunnerIsReportedAtOnce
+guard first-listing-does-not-wait pkg/supervisor/claim.go 's/^\t\t\tPurpose: PurposeProbe,/Purpose: PurposeProbe, Wait: renewWait,/' pkg/supervisor TestNewRunnerIsReportedAtOnce
 guard former-owner-may-still-grant pkg/controller/runner_leases.go 's/seenAt.Add\(leaseDuration \+ /seenAt.Add(/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/return longest$/return time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
@@ -128,7 +128,7 @@
 guard replaced-incarnation-stays-replaced pkg/supervisor/heartbeat.go 's/ \|\| key == c.replaced//' pkg/supervisor TestDelayedHeartbeatOfReplacedIncarnationIsIgnored
 guard unanswered-renewal-holds-starts pkg/supervisor/commands.go 's/c.unansweredRenewals == 0/true/' pkg/supervisor TestNoStartAfterUnansweredRenewal
 guard repeated-start-is-fenced pkg/supervisor/commands.go 's/if start.Repeated \{/if false {/' pkg/supervisor TestRepeatedStartIsStoppedInLaterIncarnation
-guard unlisted-runs-wait-for-the-longest-lease pkg/scheduler/leases.go 's/MaxLease\(c.cfg.LongestLease\)\)$/c.maxLease())/' pkg/scheduler TestUnlistedRunWaitsForLongestLease
+guard unlisted-runs-wait-for-the-longest-lease pkg/scheduler/leases.go 's/listingTTL\+maxCallTime\+MaxLease\(c.cfg.LongestLease\)/listingTTL+maxCallTime+c.maxLease()/' pkg/scheduler TestUnlistedRunWaitsForLongestLease
 guard restarted-runners-come-last pkg/scheduler/choosing.go 's/penalty \+= penaltyRestarted/penalty += 0/' pkg/scheduler TestLongRunningTaskAvoidsRestartedRunner
 guard raised-epoch-is-no-refusal pkg/supervisor/commands.go 's/a.Refusal == RefusalFenced \&\& /false \&\& /' pkg/supervisor TestStartFencedByRaisedEpochIsSentAgain
 guard slow-store-keeps-its-owner pkg/controller/owner.go 's/return unchanged >= slowAcquireAfter/return unchanged >= acquireAfter/' pkg/controller TestMayAcquireCellOfSilentOwner
@@ -185,5 +185,11 @@
 guard dropped-queue-keeps-its-terms pkg/scheduler/job.go 's/return q.former\[name\]$/return nil/' pkg/scheduler 'TestJobOfDroppedQueueKeepsIts(MaxFailures|Rank)'
 guard unknown-queue-has-the-accepted-terms pkg/scheduler/cell.go 's/if j.spec.Terms != \(Terms\{\}\) \{/if false {/' pkg/scheduler TestJobOfDroppedQueueKeepsItsMaxFailures
 guard accepted-terms-are-stored platform/ingress.go '/^\t\tTerms: /d' platform TestJobIsStoredWithTheTermsOfItsQueue
+guard accepted-start-is-listed-at-once pkg/supervisor/commands.go 's/^\t\tc.verifyDue = true$/\t\tc.scheduleReport(now)/' pkg/supervisor TestAcceptedStartIsListedAtOnce
+guard earlier-listing-is-ignored pkg/supervisor/listing.go 's/l.ClockMillis < c.listedClock/false/' pkg/supervisor TestEarlierListingChangesNothing
+guard only-later-listings-resolve-stops pkg/supervisor/listing.go 's/call.Number >= cmd.verifyAfter/c.renewCalls >= cmd.verifyAfter/' pkg/supervisor TestEarlierListingChangesNothing
+guard watched-run-waits-for-its-lease-only pkg/scheduler/leases.go 's/ \&\& !s.watchedSince\(now, t.ref\(\)\)//' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
+guard replaced-agent-proves-nothing pkg/scheduler/leases.go 's/!sentAt.Before\(s.linkedAt\)/(sentAt.Before(s.linkedAt) || true)/' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
+guard silent-agent-proves-nothing pkg/scheduler/leases.go 's/ \&\& now.Sub\(s.reportedAt\) <= listingTTL$//' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
