controller: the first owner of a cell waits for no former leases

cause: without a lease row, the owner assumed a former one that granted the longest leases of the platform. The row is absent only if nobody has owned the cell, and the write that acquires it expects that.

ruled out: a row without the duration, of an earlier version: it still counts as the longest.

change: no row, no former leases.

--- a/pkg/controller/delayed_lease_test.go
+++ b/pkg/controller/delayed_lease_test.go
@@ -54,7 +54,7 @@
 	})
 	assert.NilError(t, err)
 	var former formerOwner
-	former.observe(row)
+	former.observe(5, row)
 	seenAt := h.now
 	assert.Assert(t, former.delayedLeasesEnd(seenAt)["i-a"].After(fencedAt.Add(platformLease*102/100)),
 		"the next owner does not wait for what the call granted: %v", row.DelayedLeaseMillis)
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -86,7 +86,7 @@
 	}
 	if !e.owner.lease.Held() && e.owner.write == nil {
 		e.owner.lease.Observe(now, e.cache.lease.Version, row.Lease)
-		e.owner.former.observe(row)
+		e.owner.former.observe(e.cache.lease.Version, row)
 	}
 }
 
--- a/pkg/controller/runner_leases.go
+++ b/pkg/controller/runner_leases.go
@@ -22,6 +22,9 @@
 
 // formerOwner is what the lease row states of the owners before this one.
 type formerOwner struct {
+	// none is set if there is no row, so that nobody has owned the cell. The write that
+	// acquires it expects that, too.
+	none bool
 	// runnerLease is the duration of the longest lease of a runner that may be
 	// in force; zero if the row does not state it.
 	runnerLease time.Duration
@@ -30,8 +33,10 @@
 	delayedLeases map[string]time.Duration
 }
 
-// observe records what a lease row states.
-func (f *formerOwner) observe(row leaseRow) {
+// observe records what a version of the lease row states; version is zero if there is
+// none.
+func (f *formerOwner) observe(version uint64, row leaseRow) {
+	f.none = version == 0
 	f.runnerLease = time.Duration(row.RunnerLeaseMillis) * time.Millisecond
 	f.delayedLeases = map[string]time.Duration{}
 	for id, millis := range row.DelayedLeaseMillis {
@@ -53,8 +58,11 @@
 // can have granted, also if it has not yet noticed that it was replaced. It
 // grants leases for leaseDuration after it sent its last write, which is the
 // row that was observed at seenAt. longest is the longest lease that the
-// platform permits.
+// platform permits. The end is zero if there was no former owner.
 func (f formerOwner) leasesEnd(seenAt time.Time, longest time.Duration) time.Time {
+	if f.none {
+		return time.Time{}
+	}
 	return seenAt.Add(leaseDuration + scheduler.MaxLease(f.lease(longest)))
 }
 
--- a/pkg/controller/runner_leases_test.go
+++ b/pkg/controller/runner_leases_test.go
@@ -58,6 +58,24 @@
 	})
 }
 
+// Guards against tasks that wait for a lease which nobody granted, if their runner is lost
+// soon after a deployment's first start.
+func TestFirstOwnerWaitsForNoFormerLeases(t *testing.T) {
+	e := &Entry{
+		cache: newJobCache(nil),
+	}
+	e.owner.lease = leaser.New(self)
+	e.observeLease(time.Unix(1000, 0))
+	assert.Assert(t, e.owner.former.leasesEnd(time.Unix(1000, 0), platformLease).IsZero())
+	t.Run("but it does if the row was not read", func(t *testing.T) {
+		var unread formerOwner
+		assert.Assert(t, !unread.leasesEnd(time.Unix(1000, 0), platformLease).IsZero())
+	})
+	t.Run("or if a former owner released the cell", func(t *testing.T) {
+		assert.Assert(t, !entryAfter(time.Unix(1000, 0), leaseRow{}).owner.formerLeasesEnd.IsZero())
+	})
+}
+
 func TestLeaseRowStatesLongestLeaseInForce(t *testing.T) {
 	seenAt := time.Unix(1000, 0)
 	t.Run("a former owner's while it may be in force", func(t *testing.T) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -191,5 +191,6 @@
 guard watched-run-waits-for-its-lease-only pkg/scheduler/leases.go 's/ \&\& !s.watchedSince\(now, t.ref\(\)\)//' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
 guard replaced-agent-proves-nothing pkg/scheduler/leases.go 's/!sentAt.Before\(s.linkedAt\)/(sentAt.Before(s.linkedAt) || true)/' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
 guard silent-agent-proves-nothing pkg/scheduler/leases.go 's/ \&\& now.Sub\(s.reportedAt\) <= listingTTL$//' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
+guard first-owner-waits-for-nobody pkg/controller/runner_leases.go 's/f.none = version == 0/f.none = version == 1/' pkg/controller TestFirstOwnerWaitsForNoFormerLeases
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
