scheduler: a sync has a bounded amount of starts

Callers saw: after 22 jobs of 96 tasks at once, all but one have nothing running 17 s later, and a lasting job is killed on all runners (LOST).

cause: a sync held all unconfirmed starts with their payloads. Over 2 MiB the frame is refused, the link ends and is dialled again, and the same sync is sent, for ever; the runner's lease is in it.

ruled out: the placement, which goes on; the agents, which are idle.

change: starts of 256 KiB at most a sync, at least one, those sent before first; the rest follows when the agent has confirmed some.

conclusion: neither leases nor other jobs wait for large starts.

--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -140,6 +140,9 @@
 		return
 	}
 	t.confirmed = true
+	if s.startsHeld {
+		s.needsSync()
+	}
 	s.startRefusals.accepted()
 	c.markBegun(t.job)
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -72,6 +72,8 @@
 	// startsSent holds the runs whose start was requested and the time of the
 	// first request. Entries are kept for as long as the call may be delayed.
 	startsSent map[framer.RunRef]time.Time
+	// startsHeld is set while starts wait until the agent has confirmed others.
+	startsHeld bool
 	// fences are runs whose start was requested of an earlier incarnation and
 	// that must not start in this one.
 	fences map[framer.RunRef]struct{}
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -29,20 +29,12 @@
 		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
 	c.withdrawStarts(s)
+	if granting {
+		sync.Starts = c.starts(now, s)
+	}
 	for t := range s.tasks {
-		switch {
-		case t.stopping:
+		if t.stopping {
 			sync.Stops = append(sync.Stops, t.ref())
-		case !t.confirmed && t.committedRun == t.run && granting:
-			sync.Starts = append(sync.Starts, framer.RunStart{
-				RunRef:     t.ref(),
-				Payload:    t.job.spec.Payload,
-				Checkpoint: t.checkpoint,
-				Repeated:   t.startSent,
-			})
-			t.startSent = true
-			t.startSentAt = now
-			s.recordStartSent(now, t.ref())
 		}
 		if sharing, ok := c.sharing(s, t); ok {
 			sync.Sharing = append(sync.Sharing, sharing)
@@ -54,12 +46,61 @@
 	for ref := range s.fences {
 		sync.Stops = append(sync.Stops, ref)
 	}
-	slices.SortFunc(sync.Starts, func(a, b framer.RunStart) int { return compareRefs(a.RunRef, b.RunRef) })
 	slices.SortFunc(sync.Stops, compareRefs)
 	slices.SortFunc(sync.Sharing, func(a, b framer.Sharing) int { return compareRefs(a.RunRef, b.RunRef) })
 	return sync
 }
 
+// maxStartsBytes bounds the starts in one sync, which is far below what a frame may have.
+// The leases in the same sync never wait for starts.
+const maxStartsBytes = 256 << 10
+
+// startOverheadBytes is the size of a start without its payload and checkpoint, rounded
+// up.
+const startOverheadBytes = 128
+
+// starts returns the starts that are not confirmed yet, sorted by run: those that were sent
+// before and, of the others, as many as fit. One is sent at least. The rest follows once the
+// agent has confirmed some.
+func (c *Cell) starts(now time.Time, s *runnerState) []framer.RunStart {
+	var unconfirmed []*task
+	for t := range s.tasks {
+		if !t.stopping && !t.confirmed && t.committedRun == t.run {
+			unconfirmed = append(unconfirmed, t)
+		}
+	}
+	slices.SortFunc(unconfirmed, func(a, b *task) int { return cmp.Or(sentFirst(a)-sentFirst(b), compareTasks(a, b)) })
+	var starts []framer.RunStart
+	bytes := 0
+	s.startsHeld = false
+	for _, t := range unconfirmed {
+		bytes += startOverheadBytes + len(t.job.spec.Payload) + len(t.checkpoint)
+		if bytes > maxStartsBytes && len(starts) > 0 {
+			s.startsHeld = true
+			break
+		}
+		starts = append(starts, framer.RunStart{
+			RunRef:     t.ref(),
+			Payload:    t.job.spec.Payload,
+			Checkpoint: t.checkpoint,
+			Repeated:   t.startSent,
+		})
+		t.startSent = true
+		t.startSentAt = now
+		s.recordStartSent(now, t.ref())
+	}
+	slices.SortFunc(starts, func(a, b framer.RunStart) int { return compareRefs(a.RunRef, b.RunRef) })
+	return starts
+}
+
+// sentFirst ranks the tasks whose start was sent before those whose start was not.
+func sentFirst(t *task) int {
+	if t.startSent {
+		return 0
+	}
+	return 1
+}
+
 // withdrawStarts withdraws the starts that a runner has not accepted yet if it has become
 // too small for what is placed on it.
 func (c *Cell) withdrawStarts(s *runnerState) {
--- a/pkg/scheduler/sync_test.go
+++ b/pkg/scheduler/sync_test.go
@@ -1,10 +1,14 @@
 package scheduler
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
 // At hundreds of runners, most reports tell nothing that an agent must hear of.
@@ -55,6 +59,45 @@
 	})
 }
 
+// Guards against a runner that gets neither starts nor leases any more, since the starts
+// that wait for it are larger than a frame may be.
+func TestSyncOfManyLargeStartsFitsIntoFrame(t *testing.T) {
+	const (
+		jobs  = 22
+		tasks = 96
+	)
+	h := newCellHarness(t, "x")
+	step := newStep(tasks, 15)
+	step.Needs.MemoryBytes = 0
+	for i := range jobs {
+		h.cell.Add(h.now, Spec{
+			ID:      fmt.Sprintf("j%d", i),
+			Queue:   "checks",
+			Service: "polls",
+			Payload: strings.Repeat("x", 4000),
+			Steps:   []Step{step},
+		})
+	}
+	h.tickUntilIdle()
+	frames, err := framer.New()
+	assert.NilError(t, err)
+	started := 0
+	for round := 0; started < jobs*tasks && round < jobs*tasks; round++ {
+		placed := h.cell.Sync(h.now, "x", true)
+		data, err := frames.Encode(framer.Frame{
+			Sync: &placed,
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) <= framer.MaxFrameBytes/4)
+		assert.Assert(t, placed.LeaseUntilMillis > 0)
+		again := h.acceptStarts("x")
+		assert.Equal(t, len(again), len(placed.Starts), "what was sent is requested until it is confirmed")
+		started += len(again)
+		assert.Assert(t, len(again) > 0 && (started == jobs*tasks || h.cell.agents["x"].dirty), "the rest is sent at once, after %d", started)
+	}
+	assert.Equal(t, started, jobs*tasks)
+}
+
 func TestTaskNamesAreParsed(t *testing.T) {
 	for _, id := range []string{"a", "a.b", "a.1.2", "4f0c.0"} {
 		gotID, occurrence, step, index, ok := parseTaskName(taskName(id, 3, 1, 27))
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -192,5 +192,7 @@
 guard replaced-agent-proves-nothing pkg/scheduler/leases.go 's/!sentAt.Before\(s.linkedAt\)/(sentAt.Before(s.linkedAt) || true)/' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
 guard silent-agent-proves-nothing pkg/scheduler/leases.go 's/ \&\& now.Sub\(s.reportedAt\) <= listingTTL$//' pkg/scheduler TestUnlistedRunWaitsForItsLeaseOnlyWhileAgentReports
 guard first-owner-waits-for-nobody pkg/controller/runner_leases.go 's/f.none = version == 0/f.none = version == 1/' pkg/controller TestFirstOwnerWaitsForNoFormerLeases
+guard starts-fit-into-a-frame pkg/scheduler/sync.go 's/bytes > maxStartsBytes \&\& len\(starts\) > 0/false/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
+guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
