--- a/pkg/scheduler/queues_test.go
+++ b/pkg/scheduler/queues_test.go
@@ -124,7 +124,7 @@
 func assertFailsAfter(t *testing.T, h *cellHarness, n int) {
 	t.Helper()
 	runs := 0
-	for h.state("j") != StateFailed && runs < 10 {
+	for h.state("limited") != StateFailed && runs < 10 {
 		h.tickUntilIdle()
 		started := h.acceptStarts("x")
 		assert.Equal(t, len(started), 1, "after %d runs", runs)
@@ -141,7 +141,7 @@
 		h := newCellHarness(t, "x")
 		h.cell.SetQueues(q)
 		h.cell.Add(h.now, Spec{
-			ID:      "j",
+			ID:      "limited",
 			Queue:   "checks",
 			Service: "polls",
 			Terms:   terms,
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -74,12 +74,12 @@
 type RenewPurpose int
 
 const (
-	// PurposeRenew: the lease is to be renewed, and finished runs are waited for.
+	// PurposeRenew renews the lease and waits for finished runs.
 	PurposeRenew RenewPurpose = iota + 1
-	// PurposeProbe: a claimed incarnation is asked whether it is there.
+	// PurposeProbe asks a claimed incarnation whether it is there.
 	PurposeProbe
-	// PurposeVerify: the runner accepted a start, and its listing is to show that it
-	// was the known incarnation that did.
+	// PurposeVerify shows, after an accepted start, that the known incarnation accepted
+	// it.
 	PurposeVerify
 )
 
