scheduler: the reserve gives way to a job that waits on idle runners

Callers saw: a task of 30,000 thousandths that is never started on three empty runners of 31,000 (LOST).

cause: 6 % of each runner is reserved for the most urgent queue, and nothing lifts that. A task that needs over 94 % of the largest runner never starts.

ruled out: the shrink itself; the same happens without one.

change: a job that waited for maxIdleWait with nothing running on a mostly idle service may use the reserve, as best-effort jobs may already; its step is tried on all runners again from then on. Two cases of TestWaitCauses needed an idle runner that refuses for good; they use a busy one, with unchanged checks.

conclusion: urgent work keeps its reserve on a service in use.

--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -10,7 +10,7 @@
 )
 
 // reservePercent is the percentage of a runner's processors that only the most
-// urgent queue may use. For a long-running task, the reserve is at most what the
+// urgent queue may use, and jobs that have waited for long on a mostly idle service. For a long-running task, the reserve is at most what the
 // task needs: one that fits twice is to run however full the service is.
 const reservePercent = 6
 
@@ -119,7 +119,7 @@
 		return refusedAntiAffinity
 	}
 	needs := step.allocation()
-	if w.urgency > 0 && !step.BestEffort {
+	if w.urgency > 0 && !step.BestEffort && !w.starved {
 		reserve := s.info.ProcessorMillis * reservePercent / 100
 		if step.LongRunning {
 			reserve = min(reserve, needs.ProcessorMillis)
--- a/pkg/scheduler/choosing_test.go
+++ b/pkg/scheduler/choosing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -74,3 +75,44 @@
 		})
 	}
 }
+
+// Guards against a job that never starts although its task fits into each of the empty
+// runners, since a part of each is reserved for urgent work that doesn't come.
+func TestReserveGivesWayOnIdleRunners(t *testing.T) {
+	const (
+		shrunkMillis = 31_000
+		largeMillis  = 30_000
+	)
+	newHarness := func(t *testing.T) *cellHarness {
+		h := newCellHarness(t, "x", "y", "z")
+		for agent, r := range h.runners {
+			r.Runner.ProcessorMillis = shrunkMillis
+			h.report(agent)
+		}
+		return h
+	}
+	t.Run("after a time", func(t *testing.T) {
+		for name, step := range map[string]Step{
+			"finite": newStep(1, largeMillis),
+			"lasts":  longRunningStep(1, largeMillis),
+		} {
+			t.Run(name, func(t *testing.T) {
+				h := newHarness(t)
+				h.add("j", "reviews", step)
+				h.tickUntilIdle()
+				assert.Equal(t, len(h.acceptAllStarts()), 0)
+				h.advance(maxIdleWait + 200*time.Millisecond)
+				assert.Equal(t, h.cell.jobs["j"].placed, 1)
+			})
+		}
+	})
+	t.Run("but not while much of the service is in use", func(t *testing.T) {
+		h := newHarness(t)
+		h.add("busy", "checks", longRunningStep(2, shrunkMillis))
+		h.advance(time.Second)
+		assert.Equal(t, h.cell.jobs["busy"].placed, 2)
+		h.add("j", "reviews", newStep(1, largeMillis))
+		h.advance(3 * maxIdleWait)
+		assert.Equal(t, h.cell.jobs["j"].placed, 0)
+	})
+}
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -89,11 +89,12 @@
 }
 
 // fullRunners records that no runner could hold a step's tasks. Only those that
-// improved after change may hold them now, as long as queues is in force. The
-// zero value records nothing.
+// improved after change may hold them now, as long as queues is in force, and unless
+// the job has become starved since. The zero value records nothing.
 type fullRunners struct {
-	change uint64
-	queues *Queues
+	change  uint64
+	queues  *Queues
+	starved bool
 	// noRunnerSince is since when the step has had tasks that no runner could
 	// hold, or only one that recently refused a start; it is zero if there are
 	// none.
@@ -105,6 +106,7 @@
 	full := &w.occurrence.full[w.step]
 	full.change = c.index.change
 	full.queues = c.queues
+	full.starved = w.starved
 }
 
 // fullUpTo returns the change up to which no runner can hold a step's tasks; 0
@@ -112,7 +114,7 @@
 // that are updated all the time.
 func (c *Cell) fullUpTo(w *candidate) uint64 {
 	full := w.occurrence.full[w.step]
-	if full.queues != c.queues || w.job.spec.Steps[w.step].BestEffort {
+	if full.queues != c.queues || w.starved && !full.starved || w.job.spec.Steps[w.step].BestEffort {
 		return 0
 	}
 	return full.change
--- a/pkg/scheduler/waiting_test.go
+++ b/pkg/scheduler/waiting_test.go
@@ -75,6 +75,14 @@
 	})
 }
 
+// fillMost starts a task on runner a that uses most of the service, so that no job counts
+// as starved.
+func (h *cellHarness) fillMost() {
+	h.add("busy", "checks", longRunningStep(1, 32_000*idlePercent/100+100))
+	h.tickUntilIdle()
+	h.acceptStarts("a")
+}
+
 // Each cause of a wait is named, with the runners that refuse the task by why
 // they do.
 func TestWaitCauses(t *testing.T) {
@@ -124,8 +132,11 @@
 			},
 		},
 		{
-			name:  "the rest is reserved for another queue",
-			set:   func(h *cellHarness) { h.add("w", "reviews", newStep(1, 32_000)) },
+			name: "the rest is reserved for another queue",
+			set: func(h *cellHarness) {
+				h.fillMost()
+				h.add("w", "reviews", newStep(1, 10_000))
+			},
 			cause: "no-room",
 			pairs: waitLine{
 				"reserved": 1,
@@ -390,6 +401,7 @@
 		{
 			name: "a wrong record that the runners are full",
 			set: func(h *cellHarness) {
+				h.fillMost()
 				h.add("w", "checks", small)
 				h.cell.index.refresh()
 				h.cell.jobs["w"].occurrences[0].full[0] = fullRunners{
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -194,5 +194,7 @@
 guard first-owner-waits-for-nobody pkg/controller/runner_leases.go 's/f.none = version == 0/f.none = version == 1/' pkg/controller TestFirstOwnerWaitsForNoFormerLeases
 guard starts-fit-into-a-frame pkg/scheduler/sync.go 's/bytes > maxStartsBytes \&\& len\(starts\) > 0/false/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
+guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
+guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
