scheduler, supervisor: log the lease that a lost run had, by the runner's clock

Nothing logged told its hypotheses apart: 'run lost' named neither the lease that the owner held to be over nor the last reading of the runner's clock, a finished run that is not current had no number, and what an agent's first call after a silence asked for was not logged at all.

change: reports carry the latest lease that the agent knows of; 'run lost' and 'finished run is not current' carry lease-until-millis and clock-millis, finished runs their number; the agent logs 'first listing after a silence'.

--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -126,6 +126,9 @@
 	Runner RunnerInfo `cbor:"runner"`
 	// ClockMillis is the runner's clock, read before the report was sent.
 	ClockMillis int64 `cbor:"clock-millis"`
+	// LeaseUntilMillis is the latest end of a lease that the agent knows of, by the same
+	// clock; 0 if it knows of none.
+	LeaseUntilMillis int64 `cbor:"lease-until-millis,omitempty"`
 	// Listed is set once the runner has listed its runs; ListingAgeMillis is
 	// the time since it last did.
 	Listed           bool  `cbor:"fresh,omitempty"`
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -16,11 +16,12 @@
 	t := c.currentTask(s, e.RunRef)
 	if t == nil {
 		if e.Reason != framer.FinishNeverStarted {
-			c.cfg.LogEvent("finished run is not current", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason)
+			c.cfg.LogEvent("finished run is not current", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason,
+				"number", e.Sequence, "lease-until-millis", s.grantedUntilMillis, "clock-millis", s.clockMillis)
 		}
 		return
 	}
-	c.cfg.LogEvent("run finished", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason)
+	c.cfg.LogEvent("run finished", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason, "number", e.Sequence)
 	if e.Reason != framer.FinishNeverStarted {
 		c.markBegun(t.job)
 	}
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -145,7 +145,9 @@
 func (c *Cell) grantLease(now time.Time, s *runnerState) int64 {
 	s.leaseEnd = maxTime(s.leaseEnd, s.clockAt.Add(c.maxLease()))
 	s.leaseSentAt = now
-	return s.clockMillis + c.cfg.Lease.Milliseconds()
+	untilMillis := s.clockMillis + c.cfg.Lease.Milliseconds()
+	s.grantedUntilMillis = max(s.grantedUntilMillis, untilMillis)
+	return untilMillis
 }
 
 // renewalDue reports whether the runner's lease must be renewed. Unless the runner
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -56,7 +56,9 @@
 
 func (c *Cell) loseRun(t *task, why string) {
 	c.Counts.Lost++
-	c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", t.runner.key.ID, "why", why,
-		"start-sent", t.startSent, "confirmed", t.confirmed, "listed", t.listed)
+	s := t.runner
+	c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", s.key.ID, "why", why,
+		"start-sent", t.startSent, "confirmed", t.confirmed, "listed", t.listed,
+		"lease-until-millis", s.grantedUntilMillis, "clock-millis", s.clockMillis)
 	c.release(t)
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -46,8 +46,10 @@
 	unansweredAt time.Time
 	clockMillis  int64
 	clockAt      time.Time
-	// leaseEnd is when the last lease that could have been granted expires.
-	leaseEnd time.Time
+	// leaseEnd is when the last lease that could have been granted expires, and
+	// grantedUntilMillis the end of the last known one by the runner's clock.
+	leaseEnd           time.Time
+	grantedUntilMillis int64
 	// delayedLeaseEnd is when a lease expires that a delayed call for an earlier
 	// incarnation can have granted. fenceEpoch is the epoch from which calls are
 	// sent to this incarnation only; zero if there was no earlier one, or once
--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -280,7 +280,13 @@
 
 func (a *Agent) leaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
 	refuted := a.core.Counts.RefutedClaims
+	before := a.core.listedAt
 	a.core.LeaseRenewed(now, call, l, err)
+	if silence := a.core.listedAt.Sub(before); !before.IsZero() && silence > listingTTL {
+		a.log.Info("first listing after a silence", "runner", call.Header.Runner.ID, "silence-millis", silence.Milliseconds(),
+			"clock-millis", l.ClockMillis, "lease-until-millis", a.core.leaseUntilMillis, "requested-until-millis", call.Header.LeaseUntilMillis,
+			"acknowledged", a.core.deliveredAckSequence, "running", len(l.Running), "finished", len(l.Finished))
+	}
 	if call.Purpose == PurposeProbe {
 		a.logProbe(call, l, err, a.core.Counts.RefutedClaims > refuted)
 	}
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -301,14 +301,15 @@
 func (c *Core) report(now time.Time) {
 	c.nextReport = now.Add(reportInterval)
 	r := &framer.Report{
-		Epoch:       c.epoch,
-		Runner:      c.runner,
-		ClockMillis: c.clockMillis,
-		Listed:      !c.listedAt.IsZero(),
-		Unanswered:  c.unansweredRenewals >= maxUnansweredRenewals,
-		ListedEpoch: c.listedEpoch,
-		Running:     slices.Clone(c.running),
-		Finished:    slices.Clone(c.finished),
+		Epoch:            c.epoch,
+		Runner:           c.runner,
+		ClockMillis:      c.clockMillis,
+		LeaseUntilMillis: c.leaseUntilMillis,
+		Listed:           !c.listedAt.IsZero(),
+		Unanswered:       c.unansweredRenewals >= maxUnansweredRenewals,
+		ListedEpoch:      c.listedEpoch,
+		Running:          slices.Clone(c.running),
+		Finished:         slices.Clone(c.finished),
 	}
 	if r.Listed {
 		r.ListingAgeMillis = now.Sub(c.listedAt).Milliseconds()
