scheduler: a released run is acknowledged once its lease is proven to have expired

cause: the owner releases the runs of a silent runner when its own clock says that their lease has expired, and starts the tasks elsewhere. When the runner answers again, the owner granted it a lease with the first reading and acknowledged the ends of the released runs. Nothing had shown that the lease had expired there, which is the one thing that makes such an end count for nothing. A lease that lasted longer than the owner knew, or a process that carried out the waiting calls before its timers, made the task run twice. The class: a conclusion from one process's clock about another one's state, acted upon for good.

ruled out: that a grant of this owner outlasts what it waits for: each grant is the last reading plus the lease, and it waits for the last one, 3 % and 0.3 s.

change: a runner some of whose runs were released because of its lease gets neither a lease nor an acknowledgement nor a task until its own clock proves the expiry: a reading beyond every lease that the owner granted or the agent knows of, and another one 100 ms later. It is remembered for 10 minutes after it was lost.

The third case of TestLostRunner asked for an acknowledgement with a reading from before the end of the lease, which is the fault; it asks for none before the proof now, and for one after.

--- a/pkg/scheduler/incarnations_test.go
+++ b/pkg/scheduler/incarnations_test.go
@@ -36,7 +36,15 @@
 		h.finish(lost, runRef("j.0.0.0", 1), framer.FinishDone)
 		h.tickUntilIdle()
 		assert.Equal(t, h.state("j"), StateRunning)
-		assert.Equal(t, h.cell.Sync(h.now, lost, true).AckedSequence, int64(1))
+		assertWithheld(t, h, lost)
+	})
+	t.Run("until the runner's clock proves that its lease has expired", func(t *testing.T) {
+		h.readClock(lost, h.grantedUntil(lost)+1)
+		assertWithheld(t, h, lost)
+		h.readClock(lost, h.grantedUntil(lost)+1+expirySettleMillis)
+		sync := h.cell.Sync(h.now, lost, true)
+		assert.Equal(t, sync.AckedSequence, int64(1))
+		assert.Assert(t, sync.LeaseUntilMillis > 0)
 	})
 }
 
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -28,9 +28,7 @@
 			continue
 		}
 		c.loseExpiredRuns(now, s)
-		// Until then, a delayed call may reach an incarnation that starts under
-		// the same id.
-		if s.agent == "" && len(s.tasks) == 0 && now.Sub(s.leaseEnd) > maxCallDelay {
+		if s.forgettable(now) {
 			c.removeRunner(s)
 		}
 	}
@@ -41,6 +39,9 @@
 	lost := slices.DeleteFunc(s.placed(), func(t *task) bool { return !now.After(c.runEnd(now, s, t)) })
 	c.recordLapse(now, s, lost)
 	for _, t := range lost {
+		if t.startSent {
+			s.expiry.require()
+		}
 		if t.runner == s {
 			c.loseRun(t, "lease expired")
 		}
@@ -134,10 +135,10 @@
 	return (d - leaseMargin) * 100 / (100 + leaseDriftPercent)
 }
 
-// mayBeGranted reports whether the runner can be granted a lease: its clock is known,
-// and it has not left.
+// mayBeGranted reports whether the runner can be granted a lease: its clock is known, it
+// has not left, and no proof is due that its last lease has expired.
 func (s *runnerState) mayBeGranted() bool {
-	return s.clockMillis > 0 && !s.info.Left
+	return s.clockMillis > 0 && !s.info.Left && !s.expiry.due
 }
 
 // grantLease grants a runner a lease and returns its end by the runner's clock, in
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -19,6 +19,9 @@
 	refusedUnanswered
 	refusedNoListing
 	refusedDraining
+	// refusedNoLease: the runner is granted no lease until the last one is proven to have
+	// expired.
+	refusedNoLease
 	// refusedBackoff: the runner refused a start a moment ago.
 	refusedBackoff
 	refusedQuarantined
@@ -55,6 +58,7 @@
 	refusedUnanswered:     "unanswered",
 	refusedNoListing:      "no-listing",
 	refusedDraining:       "draining",
+	refusedNoLease:        "no-lease",
 	refusedBackoff:        "backing-off",
 	refusedQuarantined:    "quarantined",
 	refusedStalled:        "stalled",
@@ -140,6 +144,8 @@
 		return refusedNoListing
 	case s.info.Draining || s.info.Left:
 		return refusedDraining
+	case s.expiry.due:
+		return refusedNoLease
 	case s.startRefusals.backingOff(now):
 		return refusedBackoff
 	default:
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -19,7 +19,7 @@
 		s.clockMillis = r.ClockMillis
 		s.clockAt = now
 	}
-	s.grantedUntilMillis = max(s.grantedUntilMillis, r.LeaseUntilMillis)
+	c.proveExpiry(s, r)
 	c.recordFence(now, s, r)
 	s.setUnanswered(now, r.Unanswered)
 	listed := s.recordListing(now, r)
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -50,6 +50,7 @@
 	// grantedUntilMillis the end of the last known one by the runner's clock.
 	leaseEnd           time.Time
 	grantedUntilMillis int64
+	expiry             expiry
 	// delayedLeaseEnd is when a lease expires that a delayed call for an earlier
 	// incarnation can have granted. fenceEpoch is the epoch from which calls are
 	// sent to this incarnation only; zero if there was no earlier one, or once
@@ -293,8 +294,12 @@
 }
 
 // ackCommitted advances the acknowledged sequence to the last finished run that
-// is covered by committed changes.
+// is covered by committed changes. None is acknowledged while a proof is due that the
+// runner's lease has expired.
 func (s *runnerState) ackCommitted(committed uint64) {
+	if s.expiry.due {
+		return
+	}
 	n := 0
 	for n < len(s.unacked) && s.unacked[n].committed(committed) {
 		s.ackedSequence = s.unacked[n].sequence
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -196,5 +196,10 @@
 guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
+guard released-runs-need-proof-of-expiry pkg/scheduler/leases.go 's/^\t\t\ts.expiry.require\(\)//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard no-acknowledgement-without-proof pkg/scheduler/runner_state.go '/^func \(s \*runnerState\) ackCommitted/,/^\}/s/if s.expiry.due/if false/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard no-lease-without-proof pkg/scheduler/leases.go 's/ \&\& !s.expiry.due//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard leases-of-the-agent-count pkg/scheduler/expiry.go 's/max\(s.grantedUntilMillis, r.LeaseUntilMillis\)/s.grantedUntilMillis/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
