supervisor: an expired lease is renewed once the runner has noticed the expiry

The agent beside the runner outlasts the owner and knows which lease it last sent.

change: while the runner's clock is beyond the lease that the calls carried, a new lease and an acknowledgement wait until a second reading 100 ms after the first. Meanwhile the agent lists without a wait and reports each reading.

conclusion: if owner and agent are both replaced between the release and the return of the runner, the first readings are fresh by construction, but nothing makes the runner settle.

--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -136,9 +136,14 @@
 	listedEpoch uint64
 	listedClock int64
 
-	epoch            uint64
-	leaseUntilMillis int64
-	ackedSequence    int64
+	epoch uint64
+	// leaseUntilMillis is the end of the lease that calls carry, grantedUntilMillis that
+	// of the last one that the owner granted. expiredMillis is the first reading of the
+	// runner's clock after leaseUntilMillis, or 0.
+	leaseUntilMillis   int64
+	grantedUntilMillis int64
+	expiredMillis      int64
+	ackedSequence      int64
 	// deliveredAckSequence is the highest acknowledged sequence number that the
 	// runner has confirmed to have received.
 	deliveredAckSequence int64
@@ -220,7 +225,7 @@
 	if !c.known || s.Runner != c.runner.Key {
 		return true
 	}
-	c.leaseUntilMillis = max(c.leaseUntilMillis, s.LeaseUntilMillis)
+	c.grantLease(s.LeaseUntilMillis)
 	if s.AckedSequence > c.ackedSequence {
 		c.ackedSequence = s.AckedSequence
 		c.nextRenewal = now
@@ -304,7 +309,7 @@
 		Epoch:            c.epoch,
 		Runner:           c.runner,
 		ClockMillis:      c.clockMillis,
-		LeaseUntilMillis: c.leaseUntilMillis,
+		LeaseUntilMillis: c.grantedUntilMillis,
 		Listed:           !c.listedAt.IsZero(),
 		Unanswered:       c.unansweredRenewals >= maxUnansweredRenewals,
 		ListedEpoch:      c.listedEpoch,
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -148,6 +148,8 @@
 	c.ackedSequence = 0
 	c.deliveredAckSequence = 0
 	c.leaseUntilMillis = 0
+	c.grantedUntilMillis = 0
+	c.expiredMillis = 0
 	c.running = nil
 	c.finished = nil
 	c.commands = map[framer.RunRef]*command{}
--- /dev/null
+++ b/pkg/supervisor/lease_test.go
@@ -0,0 +1,85 @@
+package supervisor
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+// assertNextRenewal checks which lease and which acknowledgement the next renewal carries.
+func assertNextRenewal(t *testing.T, h *coreHarness, untilMillis, acked int64) {
+	t.Helper()
+	call := h.takeAction(isRenewal).Renew
+	h.open = append(h.open, Action{
+		Renew: call,
+	})
+	assert.Equal(t, call.Header.LeaseUntilMillis, untilMillis)
+	assert.Equal(t, call.AckedSequence, acked)
+}
+
+// TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed guards against the incident TWICE: a
+// process that was stopped carries out the calls that wait for it before its timers, so
+// that a renewal may come before the end of the lease has taken effect. An owner that has
+// just taken over knows nothing of the runs that the former one released.
+func TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed(t *testing.T) {
+	// expired returns a harness whose runner answers again after the end of its lease,
+	// and is granted another one and an acknowledgement.
+	expired := func(t *testing.T) *coreHarness {
+		t.Helper()
+		h := newCoreHarness(t)
+		h.answerRenewal(1000, Listing{})
+		h.sync(framer.Sync{
+			LeaseUntilMillis: 7000,
+		})
+		h.advance(renewBackoff)
+		h.answerRenewal(9000, Listing{})
+		h.sync(framer.Sync{
+			Epoch:            2,
+			LeaseUntilMillis: 15_000,
+			AckedSequence:    3,
+		})
+		h.advance(renewBackoff)
+		return h
+	}
+	t.Run("at first it carries neither", func(t *testing.T) {
+		assertNextRenewal(t, expired(t), 7000, 0)
+	})
+	t.Run("nor after another reading that is too early", func(t *testing.T) {
+		h := expired(t)
+		h.answerRenewal(9000+expirySettleMillis-1, Listing{})
+		h.advance(renewBackoff)
+		assertNextRenewal(t, h, 7000, 0)
+	})
+	t.Run("it carries both once the runner has continued without a lease", func(t *testing.T) {
+		h := expired(t)
+		h.answerRenewal(9000+expirySettleMillis, Listing{})
+		h.advance(renewBackoff)
+		assertNextRenewal(t, h, 15_000, 3)
+	})
+	t.Run("each reading is reported meanwhile", func(t *testing.T) {
+		h := expired(t)
+		before := len(h.reports)
+		h.answerRenewal(9050, Listing{})
+		h.advance(reportBatchDelay)
+		assert.Equal(t, len(h.reports), before+1)
+		assert.Equal(t, h.reports[before].ClockMillis, int64(9050))
+		assert.Equal(t, h.reports[before].LeaseUntilMillis, int64(15_000))
+	})
+	t.Run("a lease that has not expired is renewed at once", func(t *testing.T) {
+		h := newCoreHarness(t)
+		h.answerRenewal(1000, Listing{})
+		h.sync(framer.Sync{
+			LeaseUntilMillis: 7000,
+		})
+		h.sync(framer.Sync{
+			LeaseUntilMillis: 8000,
+			AckedSequence:    2,
+		})
+		h.advance(renewBackoff)
+		h.answerRenewal(1100, Listing{})
+		h.advance(renewBackoff)
+		assertNextRenewal(t, h, 8000, 2)
+	})
+}
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -54,7 +54,7 @@
 // response may be carried out by a later incarnation, which numbers its
 // finished runs from the start.
 func (c *Core) ackToSend() int64 {
-	if c.deliveredAckSequence >= c.ackedSequence {
+	if c.deliveredAckSequence >= c.ackedSequence || c.expirySettling() {
 		return 0
 	}
 	return c.ackedSequence
@@ -63,9 +63,10 @@
 // listingWait returns how long the runner may wait for a run to finish before
 // it responds. A listing after a request without a response, or after an accepted start,
 // is requested without a wait: no run is started until there is one, or nothing proves
-// where the run is.
+// where the run is. After the end of a lease, the owner waits for further readings of the
+// runner's clock.
 func (c *Core) listingWait() time.Duration {
-	if c.unansweredRenewals > 0 || c.verifyDue {
+	if c.unansweredRenewals > 0 || c.verifyDue || c.leaseExpired() {
 		return 0
 	}
 	for _, cmd := range c.commands {
@@ -134,14 +135,14 @@
 	c.deliveredAckSequence = max(c.deliveredAckSequence, call.AckedSequence)
 	hasNew := c.applyListing(l)
 	c.resolveVerifying(now, call, l)
-	if hasNew {
+	if hasNew || c.leaseExpired() {
 		c.scheduleReport(now)
 	}
 	if call.Purpose == PurposeVerify {
 		return
 	}
 	c.throttler.measure(now, l.Running)
-	if len(c.finished) > 0 && c.deliveredAckSequence >= c.ackedSequence {
+	if c.leaseExpired() || len(c.finished) > 0 && c.deliveredAckSequence >= c.ackedSequence {
 		c.nextRenewal = now.Add(renewBackoff)
 	}
 }
@@ -219,7 +220,3 @@
 func contains(running []framer.RunStatus, ref framer.RunRef) bool {
 	return slices.ContainsFunc(running, func(r framer.RunStatus) bool { return r.RunRef == ref })
 }
-
-func (c *Core) advanceClock(clockMillis int64) {
-	c.clockMillis = max(c.clockMillis, clockMillis)
-}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -201,5 +201,7 @@
 guard no-lease-without-proof pkg/scheduler/leases.go 's/ \&\& !s.expiry.due//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard leases-of-the-agent-count pkg/scheduler/expiry.go 's/max\(s.grantedUntilMillis, r.LeaseUntilMillis\)/s.grantedUntilMillis/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard expired-lease-settles pkg/supervisor/lease.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
+guard acknowledgement-waits-for-expiry pkg/supervisor/listing.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
