supervisor: an ended link makes no earlier one current

cause: once the latest link to the owner had ended, the agent forgot its number, so that a sync still being read from an earlier link of the same epoch was applied. It may request a start that the agent has given back since, while the owner runs the task elsewhere: TWICE. The order in which two links' frames are read after a process was stopped isn't given.

ruled out: that a dead link gets a higher number than a live one. A link is numbered before its hello, and the owner sends a sync only after that and opens the next link only after the end of the last one.

before / after: go test ./pkg/supervisor -run TestSyncOfEarlierLinkIsIgnored: 1 command of the earlier link instead of 0 / passes. scripts/red-first.sh ended-link-frees-no-earlier-one: red.

--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -59,7 +59,7 @@
 	answers *answerLog
 	// owner is the link to the owner with the highest epoch received, or nil.
 	owner *connector.Link
-	// ownerNumber is the number of that link among the accepted ones.
+	// ownerNumber is the number of the last such link among the accepted ones.
 	ownerNumber uint64
 }
 
@@ -193,12 +193,15 @@
 		a.loop.Post(func(now time.Time) { a.syncReceived(now, l, number, *f.Sync) })
 	})
 	a.log.Info("link ended", "peer", l.Peer.Address, "cause", err)
-	a.loop.Post(func(time.Time) {
-		if a.owner == l {
-			a.owner = nil
-			a.ownerNumber = 0
-		}
-	})
+	a.loop.Post(func(time.Time) { a.linkEnded(l) })
+}
+
+// linkEnded records that a link has ended. Its number stays the highest one: what is read
+// from earlier links is out of date in any case.
+func (a *Agent) linkEnded(l *connector.Link) {
+	if a.owner == l {
+		a.owner = nil
+	}
 }
 
 // syncReceived processes a sync that arrived on the link with a number. An owner
--- a/pkg/supervisor/agent_test.go
+++ b/pkg/supervisor/agent_test.go
@@ -59,6 +59,15 @@
 		assert.Equal(t, len(a.core.commands), 0)
 		assert.Assert(t, a.owner == later)
 	})
+	t.Run("of the same owner, once its later link has ended as well", func(t *testing.T) {
+		a := newAgent()
+		a.syncReceived(now, earlier, 1, sync(7, one))
+		a.syncReceived(now, later, 2, sync(7))
+		a.linkEnded(later)
+		a.syncReceived(now, earlier, 1, sync(7, one))
+		assert.Equal(t, len(a.core.commands), 0)
+		assert.Assert(t, a.owner == nil)
+	})
 	t.Run("but not if it is of a newer owner", func(t *testing.T) {
 		a := newAgent()
 		a.syncReceived(now, later, 2, sync(7))
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -79,6 +79,7 @@
 guard refused-stop-is-resolved pkg/supervisor/listing.go 's/overdue := cmd.phase == phaseStopping/overdue := false/' pkg/supervisor TestRefusedStopIsResolved
 guard listed-run-is-started pkg/supervisor/commands.go 's/if contains\(c.running, start.RunRef\) \{/if false {/' pkg/supervisor TestListedRunIsNotStartedAgain
 guard earlier-link-is-ignored pkg/supervisor/agent.go 's/number < a.ownerNumber/false/' pkg/supervisor TestSyncOfEarlierLinkIsIgnored
+guard ended-link-frees-no-earlier-one pkg/supervisor/agent.go 's/^\t\ta.owner = nil$/\t\ta.owner, a.ownerNumber = nil, 0/' pkg/supervisor TestSyncOfEarlierLinkIsIgnored
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
