scheduler: of an agent's incarnations, the one it reports last replaces the others

cause: an incarnation replaced only those with an earlier start time, which is a time of day. After the instance's clock was set back, the later incarnation replaced none: a run that a start had taken there was not its task's current one, its end as done was acknowledged and dropped, and the task ran again once the lease of the former incarnation was over: TWICE.

ruled out: that an agent turns back to a former incarnation. It knows one only after that one has answered a call that named it, and it probes one claim at a time.

change: an incarnation that has answered replaces all others at its address, which one agent reports in their order, also across a restart of the agent or of the owner. With another address (no such agent), the start time decides as before.

--- a/pkg/scheduler/incarnations.go
+++ b/pkg/scheduler/incarnations.go
@@ -40,8 +40,9 @@
 	}
 }
 
-// earlier returns the runners that started before s and have its id or its
-// address.
+// earlier returns the runners that s has replaced, provided that it has answered a call:
+// all others at its address, where one agent reports them in their order, and those with
+// its id that started before it. A start time is a time of day, which may be set back.
 func (n *incarnations) earlier(s *runnerState) []*runnerState {
 	sameID, sameAddress := n.byID[s.key.ID], n.byAddress[s.info.Address]
 	if len(sameID) <= 1 && len(sameAddress) <= 1 {
@@ -49,7 +50,9 @@
 	}
 	var list []*runnerState
 	for _, old := range slices.Concat(sameID, sameAddress) {
-		if old.key.StartedAtMillis < s.key.StartedAtMillis && !slices.Contains(list, old) {
+		startedBefore := old.key.StartedAtMillis < s.key.StartedAtMillis
+		sameAgent := s.info.Address != "" && old.info.Address == s.info.Address
+		if old != s && (startedBefore || sameAgent) && !slices.Contains(list, old) {
 			list = append(list, old)
 		}
 	}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -197,5 +197,6 @@
 guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
+guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
