supervisor: a listing that waited unread counts as old as it is

cause: an agent took the time at which it read a listing for that of the listing. When its process was stopped, the first answer it reads afterwards was made before the stop and waited in a socket: the agent reported an age of 0, so that the owner placed runs there, and sent starts by it for up to 1.5 s.

ruled out: that a lease gets longer by it. Grants are times on the runner's clock, counted from the reading in the listing, and the owner takes that reading for newer than it is.

change: the runner's clock says how long after the last listing this one was made; 3 % and 1 ms are added for its drift and its unit.

conclusion: doesn't start a task twice by itself, since such starts carry a lease that is over. It makes the first report after a stop say what is known.

--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -11,6 +11,9 @@
 // lists further ones once these are acknowledged.
 const maxListedEnds = 500
 
+// clockDriftPercent allows for a runner's clock that is up to 2 % slow.
+const clockDriftPercent = 3
+
 // renewLease sends the next lease renewal when it is due.
 func (c *Core) renewLease(now time.Time) {
 	if !c.known || c.runner.Left || c.renewing || now.Before(c.nextRenewal) {
@@ -124,8 +127,8 @@
 	if l.ClockMillis < c.listedClock {
 		return
 	}
+	c.listedAt = c.madeBy(now, l)
 	c.listedClock = l.ClockMillis
-	c.listedAt = now
 	if call.Header.Epoch != c.listedEpoch {
 		c.listedEpoch = call.Header.Epoch
 		c.scheduleReport(now)
@@ -146,6 +149,21 @@
 	}
 }
 
+// madeBy returns by when the runner has made a listing that was read now. It may have waited
+// in a socket while the agent's process was stopped. By the runner's clock it was made soon
+// after the one before.
+func (c *Core) madeBy(now time.Time, l Listing) time.Time {
+	if c.listedAt.IsZero() {
+		return now
+	}
+	since := time.Duration(l.ClockMillis-c.listedClock) * time.Millisecond
+	at := c.listedAt.Add(since + since*clockDriftPercent/100 + time.Millisecond)
+	if at.Before(now) {
+		return at
+	}
+	return now
+}
+
 // countUnanswered counts lease renewals without a response. The owner learns at
 // once that the runner stopped answering or answers again, since it places runs
 // on runners that were listed a short time ago.
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -198,5 +198,6 @@
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
+guard unread-listing-ages pkg/supervisor/listing.go 's/c.listedAt = c.madeBy\(now, l\)/c.listedAt = now/' pkg/supervisor TestListingThatWaitedUnreadIsAsOldAsItIs
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
