supervisor: an incarnation that another one answered for is neither used nor reported

cause: a start may reach a later incarnation under the same id, and the next call shows that, as its answer names another start time. The agent kept that for the later one's heartbeat only. Until it arrived, the agent reported the former incarnation every 0.5 s, by which the owner took the unlisted run to be watched (Cell.runEnd) and waited for the former one's lease of 6 s, not for the longest lease that the later one may have granted: TWICE if the heartbeat takes that long. It also still sent starts there.

change: once another incarnation has answered, the agent reports nothing and starts nothing until it knows that one.

--- a/pkg/supervisor/claim.go
+++ b/pkg/supervisor/claim.go
@@ -118,6 +118,12 @@
 	c.nextReport = now
 }
 
+// replacedUnheard reports whether another incarnation has answered a call to the known one,
+// and so has replaced it, and the other's heartbeat hasn't arrived yet.
+func (c *Core) replacedUnheard() bool {
+	return c.answeredBy != 0
+}
+
 // claimedAgain reports whether another incarnation with the known one's id may have
 // replaced it. A call cannot name one of the two.
 func (c *Core) claimedAgain() bool {
--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -140,7 +140,7 @@
 	leased := c.clockMillis > 0 && c.leaseUntilMillis > c.clockMillis
 	answers := c.unansweredRenewals == 0 && now.Sub(c.listedAt) <= listingTTL
 	described := now.Sub(c.heartbeatAt) <= c.heartbeatInterval+maxHeartbeatDelay && cmd.requestedAt.Sub(c.shrunkAt) >= shrinkHold
-	return leased && answers && described && !c.claimedAgain()
+	return leased && answers && described && !c.claimedAgain() && !c.replacedUnheard()
 }
 
 func (c *Core) sendStart(now time.Time, cmd *command) {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -238,7 +238,7 @@
 	c.renewLease(now)
 	c.verifyStarts()
 	c.adjustSpeeds(now)
-	if c.known && !now.Before(c.nextReport) && !c.fencePending() {
+	if c.known && !c.replacedUnheard() && !now.Before(c.nextReport) && !c.fencePending() {
 		c.report(now)
 	}
 	actions := c.actions
--- a/pkg/supervisor/replaced_incarnation_test.go
+++ b/pkg/supervisor/replaced_incarnation_test.go
@@ -29,3 +29,32 @@
 	assert.Equal(t, runner.Key.StartedAtMillis, int64(lower))
 	assert.Assert(t, !accepted)
 }
+
+// Guards against a task that runs twice: a start reached a later incarnation, which answered
+// the next call, and whose heartbeats were late. The agent still started runs there and
+// reported on the former one, so that the owner took it to watch the run and waited for the
+// former one's lease only.
+func TestIncarnationThatAnotherAnsweredForIsNotUsed(t *testing.T) {
+	one, two := ref("a.0.0.0"), ref("b.0.0.0")
+	h := newStartingHarness(t, one)
+	h.core.StartAnswered(h.now, *h.takeAction(isStart).Start, Answer{}, nil)
+	h.tick()
+	replaced := h.key
+	h.key.StartedAtMillis++
+	h.answerRenewal(10, Listing{
+		Running: []framer.RunStatus{{
+			RunRef: one,
+		}},
+	})
+	h.key = replaced
+	reports := len(h.reports)
+	h.sync(framer.Sync{
+		Starts:           starts(one, two),
+		LeaseUntilMillis: 7000,
+	})
+	h.advance(reportInterval)
+	assert.Equal(t, h.countOpen(isStart), 0)
+	assert.Equal(t, len(h.reports), reports)
+	h.restart(replaced.StartedAtMillis + 1)
+	assert.Equal(t, h.reports[len(h.reports)-1].Runner.Key, h.key)
+}
