supervisor: ends are reported by their numbers

cause: the owner skips an end whose number is not above the last one that it processed, and acknowledges up to that one. The agent passed ends on as the runner lists them; the users' pages don't state an order. Of two ends listed as 2 and 1, number 1 was acknowledged and never processed; if it was done, its task would run again.

ruled out: the other gaps. Numbers may have gaps: the owner needs none between two. A full listing (500) is taken to have the lowest ones; the pages do not say so. A start or stop that is never resolved has the number 0 and is not counted.

change: the agent sorts them.

conclusion: a safeguard; the numbers in the incident's record rise with the time of the end.

--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -195,6 +196,7 @@
 		c.finished = append(c.finished, e)
 		hasNew = hasNew || e.Sequence > latest
 	}
+	slices.SortFunc(c.finished, func(a, b framer.FinishedRun) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	for _, r := range l.Running {
 		cmd := c.commands[r.RunRef]
 		if cmd == nil || cmd.listed {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -200,5 +200,6 @@
 guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
 guard unread-listing-ages pkg/supervisor/listing.go 's/c.listedAt = c.madeBy\(now, l\)/c.listedAt = now/' pkg/supervisor TestListingThatWaitedUnreadIsAsOldAsItIs
 guard replaced-incarnation-is-not-used pkg/supervisor/claim.go 's/return c.answeredBy != 0/return false/' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsNotUsed
+guard ends-are-reported-in-order pkg/supervisor/listing.go 's/cmp.Compare\(a.Sequence, b.Sequence\)/0*cmp.Compare(a.Sequence, b.Sequence)/' pkg/supervisor TestEndsAreReportedInOrder
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
