--- a/pkg/supervisor/waiting_answer_test.go
+++ b/pkg/supervisor/waiting_answer_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
 // Guards against a belief about a runner that is as old as its agent's stop: an answer that
@@ -17,7 +19,13 @@
 	h.advance(100 * time.Millisecond)
 	h.answerRenewal(1100, Listing{})
 	h.now = h.now.Add(stop)
+	h.heartbeat(h.key.ID, h.key.StartedAtMillis, false)
 	h.answerRenewal(1200, Listing{})
+	h.sync(framer.Sync{
+		LeaseUntilMillis: 7000,
+		Starts:           starts(ref("a.0.0.0")),
+	})
+	assert.Equal(t, h.countOpen(isStart), 0)
 	h.advance(reportInterval)
 	last := h.reports[len(h.reports)-1]
 	age := time.Duration(last.ListingAgeMillis) * time.Millisecond
