--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -79,6 +79,7 @@
 guard refused-stop-is-resolved pkg/supervisor/listing.go 's/overdue := cmd.phase == phaseStopping/overdue := false/' pkg/supervisor TestRefusedStopIsResolved
 guard listed-run-is-started pkg/supervisor/commands.go 's/if contains\(c.running, start.RunRef\) \{/if false {/' pkg/supervisor TestListedRunIsNotStartedAgain
 guard earlier-link-is-ignored pkg/supervisor/agent.go 's/number < a.ownerNumber/false/' pkg/supervisor TestSyncOfEarlierLinkIsIgnored
+guard ended-link-frees-no-earlier-one pkg/supervisor/agent.go 's/^\t\ta.owner = nil$/\t\ta.owner, a.ownerNumber = nil, 0/' pkg/supervisor TestSyncOfEarlierLinkIsIgnored
 guard held-start-is-given-back pkg/supervisor/commands.go 's/if !cmd.mayHaveStarted \&\& now.Sub/if false \&\& now.Sub/' pkg/supervisor TestHeldStartIsAbandoned
 guard full-listing-proves-no-absence pkg/supervisor/listing.go 's/len\(l.Finished\) >= maxListedEnds/false/' pkg/supervisor TestFullListingDoesNotResolveStop
 guard unsent-start-cannot-arrive pkg/supervisor/commands.go 's/err != nil \&\& !errors.As\(err, \&notSent\)/err != nil \&\& (notSent == nil \|\| errors.As(err, \&notSent))/' pkg/supervisor TestStartThatWasNotSentIsGivenBack
@@ -203,5 +204,9 @@
 guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard expired-lease-settles pkg/supervisor/lease.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
 guard acknowledgement-waits-for-expiry pkg/supervisor/listing.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
+guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
+guard unread-listing-ages pkg/supervisor/listing.go 's/c.listedAt = c.madeBy\(now, l\)/c.listedAt = now/' pkg/supervisor TestListingThatWaitedUnreadIsAsOldAsItIs
+guard replaced-incarnation-is-not-used pkg/supervisor/claim.go 's/return c.answeredBy != 0/return false/' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsNotUsed
+guard ends-are-reported-in-order pkg/supervisor/listing.go 's/cmp.Compare\(a.Sequence, b.Sequence\)/0*cmp.Compare(a.Sequence, b.Sequence)/' pkg/supervisor TestEndsAreReportedInOrder
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
