supervisor: an incarnation that answers again is reported again

cause: since an agent reports nothing from when another incarnation has answered a call to the known one until that one's heartbeat arrives. If the known one answers again, which a runner that never sends the other heartbeat does, it would not be reported for ever, and its tasks would wait.

change: an answer of the known incarnation ends that.

before / after: go test ./pkg/supervisor -run TestIncarnationThatAnswersAgainIsReported: no report after the answer / passes.

--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -117,6 +117,7 @@
 		c.answeredBy = l.StartedAtMillis
 		return
 	}
+	c.answeredBy = 0
 	if call.Purpose != PurposeVerify {
 		c.nextRenewal = now
 	}
--- a/pkg/supervisor/replaced_incarnation_test.go
+++ b/pkg/supervisor/replaced_incarnation_test.go
@@ -58,3 +58,20 @@
 	h.restart(replaced.StartedAtMillis + 1)
 	assert.Equal(t, h.reports[len(h.reports)-1].Runner.Key, h.key)
 }
+
+// Guards against a runner that is never reported again because one answer came from, or was
+// read as that of, another incarnation.
+func TestIncarnationThatAnswersAgainIsReported(t *testing.T) {
+	h := newCoreHarness(t)
+	h.answerRenewal(1000, Listing{})
+	h.advance(renewBackoff)
+	known := h.key
+	h.key.StartedAtMillis++
+	h.answerRenewal(10, Listing{})
+	h.key = known
+	h.advance(reportInterval)
+	reports := len(h.reports)
+	h.answerRenewal(1700, Listing{})
+	h.advance(reportInterval)
+	assert.Assert(t, len(h.reports) > reports)
+}
