scheduler: the end of a superseded run needs the proof, whoever released the run

change: an end done of a run whose task has a later run requires the proof of expiry, unless it was given. No runner's word leads there: stops, failures and losses that a runner has shown are processed as the task's current run. Gangs and long-running tasks are left out: there a done run is superseded as a rule.

--- a/pkg/scheduler/expiry.go
+++ b/pkg/scheduler/expiry.go
@@ -21,8 +21,9 @@
 // neither its acknowledgement nor another lease may reach the runner before that lease has
 // expired there. The zero value needs no proof.
 type expiry struct {
-	// due is set while the proof is needed.
-	due bool
+	// due is set while the proof is needed, proven once it was given.
+	due    bool
+	proven bool
 	// readMillis is the first reading of the clock after the end of the lease, or 0.
 	readMillis int64
 }
@@ -43,8 +44,22 @@
 	if e.readMillis == 0 {
 		e.readMillis = clockMillis
 	}
-	e.due = clockMillis-e.readMillis < expirySettleMillis
-	return !e.due
+	e.proven = clockMillis-e.readMillis >= expirySettleMillis
+	e.due = !e.proven
+	return e.proven
+}
+
+// requireFor requires the proof for a finished run that is not its task's current one, if the
+// task has started again although the run was done. The run was released without the
+// runner's word, perhaps by a former owner.
+func (c *Cell) requireFor(s *runnerState, e framer.FinishedRun) {
+	t := c.taskByName(e.Task)
+	if t == nil || e.Reason != framer.FinishDone || e.Run >= t.run || t.spec().LongRunning || t.spec().Gang {
+		return
+	}
+	if !s.expiry.due && !s.expiry.proven {
+		s.expiry.require()
+	}
 }
 
 // proveExpiry processes the reading of the runner's clock in a report. The agent may know
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -15,6 +15,7 @@
 	s.removeUnexpected(e.RunRef)
 	t := c.currentTask(s, e.RunRef)
 	if t == nil {
+		c.requireFor(s, e)
 		if e.Reason != framer.FinishNeverStarted {
 			c.cfg.LogEvent("finished run is not current", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason,
 				"number", e.Sequence, "lease-until-millis", s.grantedUntilMillis, "clock-millis", s.clockMillis)
--- a/pkg/scheduler/given_up_end_test.go
+++ b/pkg/scheduler/given_up_end_test.go
@@ -47,7 +47,8 @@
 	})
 	t.Run("of the same owner, which has forgotten the runner", func(t *testing.T) {
 		h, silent := newGivenUpHarness(t)
-		h.advance(maxCallDelay + time.Second)
+		h.now = h.now.Add(expiryTTL)
+		h.cell.Tick(h.now, false)
 		assert.Assert(t, h.cell.runners[silent.Runner.Key] == nil)
 		assertNotAcked(t, h, silent)
 	})
