supervisor: a notice that the runner has left counts once the runner leaves calls unanswered

cause: the notice names the runner's id alone.

change: the notice makes the agent call the runner at once; it has left when two calls in a row got no response.

TestLateNoticeThatRunnerLeft asked for the report at once, which is the fault; it asks for it after two calls without a response now, and for no renewal after that.

--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -123,6 +123,8 @@
 	heartbeatInterval time.Duration
 	// shrunkAt is when the runner last reported less capacity than before.
 	shrunkAt time.Time
+	// leaveNoticed is set from a notice that the runner has left until its next heartbeat.
+	leaveNoticed bool
 	// replaced is the incarnation that the known one replaced.
 	replaced framer.RunnerKey
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -80,6 +80,7 @@
 		c.nextReport = now
 	}
 	c.runner = b.Info
+	c.leaveNoticed = false
 	c.heartbeatSequence = b.Sequence
 	return true
 }
@@ -118,13 +119,21 @@
 	return b.Info.Key.StartedAtMillis == c.answeredBy || c.rival.alone(now, c.heartbeatAt)
 }
 
-// RunnerLeft records that the runner has left. The notice names no incarnation.
-// Since a runner drains before it leaves, the notice for one that is not draining
-// is a delayed one of an earlier incarnation.
+// RunnerLeft processes a notice that the runner has left. It names no incarnation, and may
+// be a delayed one of an earlier incarnation, which is certain if the known one does not
+// drain. The known one has left once it also leaves calls without a response.
 func (c *Core) RunnerLeft(now time.Time, id string) {
 	if c.known && c.runner.Key.ID == id && c.runner.Draining {
+		c.leaveNoticed = true
+		c.nextRenewal = now
+		c.confirmLeave(now)
+	}
+}
+
+// confirmLeave records that the runner has left, if a notice said so and it does not answer.
+func (c *Core) confirmLeave(now time.Time) {
+	if c.leaveNoticed && !c.runner.Left && c.unansweredRenewals >= maxUnansweredRenewals {
 		c.runner.Left = true
-		c.runner.Draining = true
 		c.nextReport = now
 	}
 }
@@ -139,6 +148,7 @@
 	}
 	c.Counts.RunnerIncarnations++
 	c.answeredBy = 0
+	c.leaveNoticed = false
 	c.clockMillis = 0
 	c.listedAt = time.Time{}
 	c.listedEpoch = 0
--- a/pkg/supervisor/heartbeat_test.go
+++ b/pkg/supervisor/heartbeat_test.go
@@ -91,8 +91,13 @@
 	h.heartbeat("i-1", 5000, true)
 	h.core.RunnerLeft(h.now, "i-1")
 	h.tick()
+	assert.Assert(t, !h.reports[len(h.reports)-1].Runner.Left, "it may still answer")
+	for range maxUnansweredRenewals {
+		h.core.LeaseRenewed(h.now, *h.takeAction(isRenewal).Renew, Listing{}, errNoAnswer)
+		h.advance(renewBackoff)
+	}
 	assert.Assert(t, h.reports[len(h.reports)-1].Runner.Left)
-	h.answerRenewal(1100, Listing{})
+	assert.Equal(t, h.countOpen(isRenewal), 0)
 	h.heartbeat("i-1", 5000, false)
 	last := h.reports[len(h.reports)-1]
 	assert.Assert(t, !last.Runner.Left && !last.Runner.Draining)
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -179,6 +179,7 @@
 	if before != (c.unansweredRenewals >= maxUnansweredRenewals) {
 		c.scheduleReport(now)
 	}
+	c.confirmLeave(now)
 }
 
 // applyListing stores the running and finished runs and reports whether a
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -203,6 +203,7 @@
 guard leases-of-the-agent-count pkg/scheduler/expiry.go 's/max\(s.grantedUntilMillis, r.LeaseUntilMillis\)/s.grantedUntilMillis/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard superseded-done-needs-proof pkg/scheduler/finished_run.go 's/^\t\tc.requireFor\(s, e\)//' pkg/scheduler TestEndOfGivenUpRunIsNotAckedByEarlierListing
+guard leave-notice-is-no-proof pkg/supervisor/heartbeat.go 's/ \&\& c.unansweredRenewals >= maxUnansweredRenewals//' pkg/supervisor TestDelayedLeaveNoticeEndsNoDrainingIncarnation
 guard expired-lease-settles pkg/supervisor/lease.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
 guard acknowledgement-waits-for-expiry pkg/supervisor/listing.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
 guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
