supervisor: an incarnation that another one answered for is only looked at

cause: while the heartbeat of a later incarnation under the same id was late, each renewal for the former one carried its lease and its unconfirmed acknowledgement, every 100 ms. The later one carries them out: it drops its own ends up to that number, which nobody has read, and grants itself its longest lease. A run that a start had taken there ends as done, is taken note of, and its task runs again: TWICE.

ruled out: the sync. One that was made for a former incarnation names it, and is ignored when it is read after the change (Core.SyncReceived).

change: once another incarnation has answered, renewals carry neither.

before / after: go test ./pkg/supervisor -run TestIncarnationThatAnotherAnsweredForIsOnlyLookedAt: acknowledges 7 instead of 0 / passes. scripts/red-first.sh replaced-incarnation-is-only-looked-at: red.

--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -48,6 +48,11 @@
 	c.Counts.LeaseRenewals++
 	call.Header = c.callHeader()
 	call.Number = c.renewCalls
+	if c.replacedUnheard() {
+		// Neither the lease nor the acknowledgement is for the one that answers.
+		call.Header.LeaseUntilMillis = 0
+		call.AckedSequence = 0
+	}
 	c.actions = append(c.actions, Action{
 		Renew: &call,
 	})
--- a/pkg/supervisor/replaced_incarnation_test.go
+++ b/pkg/supervisor/replaced_incarnation_test.go
@@ -58,3 +58,24 @@
 	h.restart(replaced.StartedAtMillis + 1)
 	assert.Equal(t, h.reports[len(h.reports)-1].Runner.Key, h.key)
 }
+
+// Guards against an end that is acknowledged and was never read: the acknowledgement for a
+// former incarnation was sent again and again to the one that had answered in its place,
+// which numbers its ends from the start, and so was its lease.
+func TestIncarnationThatAnotherAnsweredForIsOnlyLookedAt(t *testing.T) {
+	h := newCoreHarness(t)
+	h.answerRenewal(90_000, Listing{})
+	h.sync(framer.Sync{
+		AckedSequence:    7,
+		LeaseUntilMillis: 96_000,
+	})
+	h.advance(renewBackoff)
+	h.core.LeaseRenewed(h.now, *h.takeAction(isRenewal).Renew, Listing{}, errNoAnswer)
+	h.advance(renewBackoff)
+	h.key.StartedAtMillis++
+	h.answerRenewal(10, Listing{})
+	h.advance(renewBackoff)
+	call := *h.takeAction(isRenewal).Renew
+	assert.Equal(t, call.AckedSequence, int64(0))
+	assert.Equal(t, call.Header.LeaseUntilMillis, int64(0))
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -201,5 +201,6 @@
 guard unread-listing-ages pkg/supervisor/listing.go 's/c.listedAt = c.madeBy\(now, l\)/c.listedAt = now/' pkg/supervisor TestListingThatWaitedUnreadIsAsOldAsItIs
 guard replaced-incarnation-is-not-used pkg/supervisor/claim.go 's/return c.answeredBy != 0/return false/' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsNotUsed
 guard ends-are-reported-in-order pkg/supervisor/listing.go 's/cmp.Compare\(a.Sequence, b.Sequence\)/0*cmp.Compare(a.Sequence, b.Sequence)/' pkg/supervisor TestEndsAreReportedInOrder
+guard replaced-incarnation-is-only-looked-at pkg/supervisor/listing.go 's/^\t\tcall.AckedSequence = 0$//; s/^\t\tcall.Header.LeaseUntilMillis = 0$//' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsOnlyLookedAt
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
