supervisor: a test that nothing for a former incarnation is applied to the next one

No unit test failed without these checks: three guard lines in scripts/red-first.sh now show that this one does. No code changed.

--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -202,5 +202,8 @@
 guard replaced-incarnation-is-not-used pkg/supervisor/claim.go 's/return c.answeredBy != 0/return false/' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsNotUsed
 guard ends-are-reported-in-order pkg/supervisor/listing.go 's/cmp.Compare\(a.Sequence, b.Sequence\)/0*cmp.Compare(a.Sequence, b.Sequence)/' pkg/supervisor TestEndsAreReportedInOrder
 guard replaced-incarnation-is-only-looked-at pkg/supervisor/listing.go 's/^\t\tcall.AckedSequence = 0$//; s/^\t\tcall.Header.LeaseUntilMillis = 0$//' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsOnlyLookedAt
+guard former-sync-is-ignored pkg/supervisor/core.go 's/!c.known \|\| s.Runner != c.runner.Key/!c.known/' pkg/supervisor TestWhatIsForFormerIncarnationChangesNothing
+guard former-start-is-ignored pkg/supervisor/commands.go 's/cmd == nil \|\| call.Header.Runner != c.runner.Key/cmd == nil/' pkg/supervisor TestWhatIsForFormerIncarnationChangesNothing
+guard former-listing-is-ignored pkg/supervisor/listing.go 's/if call.Header.Runner != c.runner.Key \{/if false {/' pkg/supervisor TestWhatIsForFormerIncarnationChangesNothing
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
