--- a/pkg/supervisor/replaced_incarnation_test.go
+++ b/pkg/supervisor/replaced_incarnation_test.go
@@ -59,6 +59,7 @@
 	assert.Equal(t, h.reports[len(h.reports)-1].Runner.Key, h.key)
 }
 
+<<<<<<< HEAD
 // Guards against a runner that is never reported again because one answer came from, or was
 // read as that of, another incarnation.
 func TestIncarnationThatAnswersAgainIsReported(t *testing.T) {
@@ -74,4 +75,25 @@
 	h.answerRenewal(1700, Listing{})
 	h.advance(reportInterval)
 	assert.Assert(t, len(h.reports) > reports)
+=======
+// Guards against an end that is acknowledged and was never read: the acknowledgement for a
+// former incarnation was sent again and again to the one that had answered in its place,
+// which numbers its ends from the start, and so was its lease.
+func TestIncarnationThatAnotherAnsweredForIsOnlyLookedAt(t *testing.T) {
+	h := newCoreHarness(t)
+	h.answerRenewal(90_000, Listing{})
+	h.sync(framer.Sync{
+		AckedSequence:    7,
+		LeaseUntilMillis: 96_000,
+	})
+	h.advance(renewBackoff)
+	h.core.LeaseRenewed(h.now, *h.takeAction(isRenewal).Renew, Listing{}, errNoAnswer)
+	h.advance(renewBackoff)
+	h.key.StartedAtMillis++
+	h.answerRenewal(10, Listing{})
+	h.advance(renewBackoff)
+	call := *h.takeAction(isRenewal).Renew
+	assert.Equal(t, call.AckedSequence, int64(0))
+	assert.Equal(t, call.Header.LeaseUntilMillis, int64(0))
+>>>>>>> paths
 }
