experimenter: stopped processes in the simulation of steps

The simulation had no stopped processes at all: an agent or a runner was there, unreachable or restarted, its timers were never late, nothing waited in its sockets, a lost response was always that of a call that was late as well, and all clocks ran at one speed. Its check saw a start after an acknowledged end, not an acknowledgement after such a start. ruled out: nothing yet. change: the stand-in runner can be stopped, lists 500 ends at most, may have a slow clock, and counts its lease as expired by one of four readings. Stopped agents, runners and instances keep what waits in their sockets and process it in any order, with their timers in between; calls leave a stopped process late; responses are lost or slow on calls that were carried out; faults follow ends of runs within 60 ms. The check of an end holds for all starts since then, for done and for failed. Gangs and checkpoints are still not simulated.

--- a/pkg/emulator/step_runner.go
+++ b/pkg/emulator/step_runner.go
@@ -43,6 +43,14 @@
 	MaxLease time.Duration
 	// StopDuration is the duration of a stop.
 	StopDuration time.Duration
+	// MaxListed is the largest number of finished runs in a listing.
+	MaxListed int
+	// SlowPercent is by how much the runner's clock is slow.
+	SlowPercent int64
+	// Lapse is when the lease counts as expired.
+	Lapse LapseReading
+	// OnLapse is called whenever the lease expires.
+	OnLapse func()
 	// ReportProgress makes the runner list how much of its run time each run has
 	// completed; otherwise all runs are listed as complete.
 	ReportProgress bool
@@ -50,9 +58,17 @@
 	startedAt time.Time
 	// hungSince is since when the runs make no progress; zero if they do.
 	hungSince time.Time
-	epoch     uint64
-	leaseEnd  int64
-	runs      map[string]*stepRun
+	// frozenSince is since when the process is stopped; zero if it runs.
+	// timersAt is when the timers fire that fell due meanwhile, lapseFirst whether
+	// the lease's timer is the first of them, and lapsed whether the lease is known
+	// to have expired.
+	frozenSince time.Time
+	timersAt    time.Time
+	lapseFirst  bool
+	lapsed      bool
+	epoch       uint64
+	leaseEnd    int64
+	runs        map[string]*stepRun
 	// highestRun is the highest run of each task that was started, finished or
 	// stopped here.
 	highestRun   map[string]int
@@ -63,6 +79,9 @@
 	expiredSequence int64
 }
 
+// defaultMaxListed is the number of finished runs in the largest listing.
+const defaultMaxListed = 500
+
 // NewStepRunner returns a runner whose incarnation starts now. By default each
 // run takes 1 s and succeeds.
 func NewStepRunner(now time.Time, id string) *StepRunner {
@@ -79,6 +98,9 @@
 		OnAcknowledged: func(framer.FinishedRun, bool) {},
 		MaxLease:       6 * time.Second,
 		StopDuration:   400 * time.Millisecond,
+		MaxListed:      defaultMaxListed,
+		Lapse:          LapseByClock,
+		OnLapse:        func() {},
 		startedAt:      now,
 		runs:           map[string]*stepRun{},
 		highestRun:     map[string]int{},
@@ -87,27 +109,7 @@
 
 // clockMillis returns the time of the runner's own clock, which starts at 1 ms.
 func (r *StepRunner) clockMillis(now time.Time) int64 {
-	return now.Sub(r.startedAt).Milliseconds() + 1
-}
-
-// Advance finishes the runs whose run time is over, whose stop takes effect or
-// whose lease has expired.
-func (r *StepRunner) Advance(now time.Time) {
-	expired := r.clockMillis(now) > r.leaseEnd
-	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
-		run := r.runs[task]
-		switch {
-		case r.hungSince.IsZero() && !run.endAt.After(now) && (run.stopAt.IsZero() || run.endAt.Before(run.stopAt)):
-			r.finish(run, run.reason)
-		case !run.stopAt.IsZero() && !run.stopAt.After(now):
-			r.finish(run, framer.FinishStopped)
-		case expired:
-			r.finish(run, framer.FinishLeaseExpired)
-		}
-	}
-	if expired {
-		r.expiredSequence = r.lastSequence
-	}
+	return now.Sub(r.startedAt).Milliseconds()*(100-r.SlowPercent)/100 + 1
 }
 
 func (r *StepRunner) finish(run *stepRun, reason framer.FinishReason) {
@@ -125,7 +127,7 @@
 // renew adopts the owner's epoch and extends the lease, to at most MaxLease from
 // now. It rejects a call for another runner or from a former epoch.
 func (r *StepRunner) renew(now time.Time, h supervisor.CallHeader) supervisor.Refusal {
-	r.Advance(now)
+	r.advance(now, true)
 	if h.Runner.ID != r.Key.ID {
 		return supervisor.RefusalWrongIncarnation
 	}
@@ -135,6 +137,7 @@
 	r.epoch = h.Epoch
 	maxEnd := r.clockMillis(now) + r.MaxLease.Milliseconds()
 	r.leaseEnd = max(r.leaseEnd, min(h.LeaseUntilMillis, maxEnd))
+	r.lapsed = r.lapsed && r.Expired(now)
 	return ""
 }
 
@@ -238,7 +241,7 @@
 		r.OnAcknowledged(r.finished[0], r.finished[0].Sequence <= r.expiredSequence)
 		r.finished = r.finished[1:]
 	}
-	l.Finished = slices.Clone(r.finished)
+	l.Finished = slices.Clone(r.finished[:min(len(r.finished), r.MaxListed)])
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
 		l.Running = append(l.Running, framer.RunStatus{
 			RunRef:  r.runs[task].ref,
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -34,6 +34,11 @@
 	rnd  *rand.Rand
 	// foreignRnd decides on the heartbeats of other writers.
 	foreignRnd *rand.Rand
+	// stopRnd decides on what stoppedProcesses adds, processes configures it.
+	stopRnd   *rand.Rand
+	processes stoppedProcesses
+	// faultsOver is set once no more faults are injected.
+	faultsOver bool
 	// lease is the lease that owners grant, and longestLease the longest one
 	// that runners accept.
 	lease        time.Duration
@@ -59,12 +64,14 @@
 	queues *scheduler.Queues
 
 	// State of the checks, by task: the runner that runs it, its acknowledged
-	// failures, and whether a finished run with reason "done" was acknowledged.
-	// allocated are the resources in use on each runner, and endedAt is when the
+	// failures, whether a finished run with reason "done" was acknowledged, and its
+	// starts and ends. allocated are the resources in use on each runner, and endedAt is when the
 	// last run of each task ended.
 	runningOn        map[string]*emulator.StepRunner
 	failures         map[string]int
 	acknowledgedDone map[string]bool
+	histories        map[string]*history
+	numbered         int
 	allocated        map[*emulator.StepRunner]publisher.Resources
 	endedAt          map[string]time.Time
 	crashes          crashes
@@ -74,12 +81,19 @@
 }
 
 func newStepsSimulation(t *testing.T, seed uint64, longestLease time.Duration, agents int) *stepsSimulation {
+	return newStoppedSimulation(t, seed, longestLease, agents, stoppedProcesses{})
+}
+
+// newStoppedSimulation returns a simulation with faults of processes and connections.
+func newStoppedSimulation(t *testing.T, seed uint64, longestLease time.Duration, agents int, processes stoppedProcesses) *stepsSimulation {
 	sim := &stepsSimulation{
 		Clock:            NewClock(),
 		t:                t,
 		seed:             seed,
 		rnd:              rand.New(rand.NewPCG(seed, 77)),
 		foreignRnd:       rand.New(rand.NewPCG(seed, 78)),
+		processes:        processes,
+		stopRnd:          rand.New(rand.NewPCG(seed, 79)),
 		lease:            grantedLease(longestLease),
 		longestLease:     longestLease,
 		specs:            map[string]scheduler.Spec{},
@@ -88,6 +102,7 @@
 		runningOn:        map[string]*emulator.StepRunner{},
 		failures:         map[string]int{},
 		acknowledgedDone: map[string]bool{},
+		histories:        map[string]*history{},
 		allocated:        map[*emulator.StepRunner]publisher.Resources{},
 		endedAt:          map[string]time.Time{},
 		crashes: crashes{
