RED: a call that waited extends a lease that the owner gave up

The agent, cut off until 11.0, had listed the runner up to 8.8, with the end as done of 8.06, and then the runner's process stopped. At 11.3 the owner takes that listing, grants 8.8 + 6 s and acknowledges the end. Both wait in the runner's socket until 12.0.

--- a/pkg/experimenter/steps_given_up_test.go
+++ b/pkg/experimenter/steps_given_up_test.go
@@ -122,3 +122,13 @@
 		g.play()
 	}
 }
+
+// Guards against a second run of a task that is done: the owner grants a lease by a
+// reading of the runner's clock from before the given-up lease was over. The call waits in
+// the socket of the stopped runner, and extends that lease before it is found expired.
+func TestGivenUpLeaseIsNotExtendedByCallThatWaited(t *testing.T) {
+	g := newGivenUpRun(t, emulator.LapseAfterCalls, 4*time.Second)
+	g.cutFromOwnerFor(7 * time.Second)
+	g.stopRunnerBetween(4800*time.Millisecond, 8*time.Second)
+	g.play()
+}
--- a/pkg/experimenter/steps_stopped_mixes_test.go
+++ b/pkg/experimenter/steps_stopped_mixes_test.go
@@ -94,10 +94,20 @@
 	testStopMixes(t, emulator.LapseOnCall)
 }
 
-func testStopMixes(t *testing.T, lapse emulator.LapseReading) {
+// TestStepsWhileLeasesLapseAfterWaitingCalls guards against the same on runners that
+// execute, after a stop, the calls that waited before they notice that their lease
+// expired.
+func TestStepsWhileLeasesLapseAfterWaitingCalls(t *testing.T) {
+	testStopMixes(t, emulator.LapseAfterCalls, func(p *stoppedProcesses) { p.timerDelay = 0 })
+}
+
+func testStopMixes(t *testing.T, lapse emulator.LapseReading, changes ...func(p *stoppedProcesses)) {
 	t.Helper()
 	for _, mix := range stopMixes() {
 		mix.processes.lapse = lapse
+		for _, change := range changes {
+			change(&mix.processes)
+		}
 		for _, seed := range seeds(2) {
 			for _, longestLease := range []time.Duration{stepsLease, stepsLongestLease} {
 				t.Run(fmt.Sprintf("%s-seed-%d-lease-%s", mix.name, seed, longestLease), func(t *testing.T) {
