RED: an end of a run given up is acknowledged though nothing ran at the expiry

The agent continues, reports the end, and the owner acknowledges the end of a run that it gave up. Whether the end counts then hangs on the runner alone: here it holds that a lease under which nothing runs does not expire.

--- a/pkg/experimenter/steps_given_up_test.go
+++ b/pkg/experimenter/steps_given_up_test.go
@@ -103,7 +103,7 @@
 }
 
 // Guards against a task that runs again although its end as done counts: the agent was
-// stopped for 8 s, 0.1 s before the end, and acknowledges it after the run was given up.
+// stopped for 8 s just before the end, and acknowledges it after the run was given up.
 func TestEndOfGivenUpRunAfterAgentStops(t *testing.T) {
 	for _, lapse := range []emulator.LapseReading{emulator.LapseByClock, emulator.LapseOnCall, emulator.LapseAfterCalls} {
 		g := newGivenUpRun(t, lapse, 100*time.Millisecond)
@@ -132,3 +132,12 @@
 	g.stopRunnerBetween(4800*time.Millisecond, 8*time.Second)
 	g.play()
 }
+
+// Guards against a second run of a task that is done: its runner ran nothing when the
+// lease was over, takes that for no expiry, and the end of the given-up run is
+// acknowledged.
+func TestEndOfGivenUpRunIsNotAcknowledgedIfNothingRan(t *testing.T) {
+	g := newGivenUpRun(t, emulator.LapseOfRuns, 100*time.Millisecond)
+	g.stopAgentFor(8 * time.Second)
+	g.play()
+}
--- a/pkg/experimenter/steps_stopped_mixes_test.go
+++ b/pkg/experimenter/steps_stopped_mixes_test.go
@@ -101,6 +101,12 @@
 	testStopMixes(t, emulator.LapseAfterCalls, func(p *stoppedProcesses) { p.timerDelay = 0 })
 }
 
+// TestStepsWhileOnlyUsedLeasesLapse guards against the same on runners whose lease does
+// not count as expired if nothing ran.
+func TestStepsWhileOnlyUsedLeasesLapse(t *testing.T) {
+	testStopMixes(t, emulator.LapseOfRuns)
+}
+
 func testStopMixes(t *testing.T, lapse emulator.LapseReading, changes ...func(p *stoppedProcesses)) {
 	t.Helper()
 	for _, mix := range stopMixes() {
