--- a/pkg/supervisor/replaced_incarnation_test.go
+++ b/pkg/supervisor/replaced_incarnation_test.go
@@ -59,7 +59,6 @@
 	assert.Equal(t, h.reports[len(h.reports)-1].Runner.Key, h.key)
 }
 
-<<<<<<< HEAD
 // Guards against a runner that is never reported again because one answer came from, or was
 // read as that of, another incarnation.
 func TestIncarnationThatAnswersAgainIsReported(t *testing.T) {
@@ -75,7 +74,8 @@
 	h.answerRenewal(1700, Listing{})
 	h.advance(reportInterval)
 	assert.Assert(t, len(h.reports) > reports)
-=======
+}
+
 // Guards against an end that is acknowledged and was never read: the acknowledgement for a
 // former incarnation was sent again and again to the one that had answered in its place,
 // which numbers its ends from the start, and so was its lease.
@@ -95,5 +95,4 @@
 	call := *h.takeAction(isRenewal).Renew
 	assert.Equal(t, call.AckedSequence, int64(0))
 	assert.Equal(t, call.Header.LeaseUntilMillis, int64(0))
->>>>>>> paths
 }
