--- a/pkg/emulator/ports.go
+++ b/pkg/emulator/ports.go
@@ -19,6 +19,7 @@
 // PortAllocator allocates free loopback addresses. It wraps around at the end of
 // its range.
 type PortAllocator struct {
+	host string
 	next int
 }
 
@@ -26,15 +27,24 @@
 // range.
 func NewPortAllocator() *PortAllocator {
 	return &PortAllocator{
+		host: "127.0.0.1",
 		next: firstPort + rand.IntN(lastPort-firstPort),
 	}
 }
 
+// NewHostAllocator returns an allocator of a random loopback host, so that allocators of
+// tests that run side by side do not meet.
+func NewHostAllocator() *PortAllocator {
+	p := NewPortAllocator()
+	p.host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254))
+	return p
+}
+
 // Address returns a loopback address, as IP:PORT, on which nothing listens. It
 // returns an error if no port of the range is free.
 func (p *PortAllocator) Address() (string, error) {
 	for range lastPort - firstPort {
-		address := fmt.Sprintf("127.0.0.1:%d", p.next)
+		address := fmt.Sprintf("%s:%d", p.host, p.next)
 		p.next++
 		if p.next == lastPort {
 			p.next = firstPort
