RED: the end of a gang that a former owner gave up is acknowledged without proof

A gang's task was done, was started again and its first end is acknowledged then (TWICE). requireFor leaves out gangs. The members that are completed by another one keep their run number, so that a lower number already tells a superseded run from one of those.

go test ./pkg/scheduler -run TestEndOfGivenUpGangIsNotAckedByNextOwner: 1 acknowledged instead of 0; with one task and no gang, TestEndOfGivenUpRunIsNotAckedByEarlierListing passes.

--- /dev/null
+++ b/pkg/scheduler/unproven_end_test.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+// takeOver replaces the harness's cell by that of the next owner, which loads job j from
+// its committed row.
+func (h *cellHarness) takeOver() {
+	h.t.Helper()
+	j := h.cell.jobs["j"]
+	h.cell = NewCell(Config{
+		Epoch:           2,
+		Assert:          strictAsserter(h.t),
+		Lease:           testLease,
+		LongestLease:    testLease,
+		FormerLeasesEnd: h.now.Add(MaxLease(testLease)),
+	})
+	h.cell.SetQueues(testQueues())
+	h.cell.Load(h.now, j.spec, j.progress())
+}
+
+// finishSilent lets the runner of agent a, which was silent, list the end of the first run.
+func (h *cellHarness) finishSilent(silent *framer.Report, reason framer.FinishReason) {
+	h.t.Helper()
+	h.runners["a"] = silent
+	h.finish("a", runRef("j.0.0.0", 1), reason)
+	h.tickUntilIdle()
+}
+
+// Guards against a gang's task that starts again after its end was acknowledged: the former
+// owner gave its run up, and the next one acknowledges the end without a proof that the
+// lease has expired.
+func TestEndOfGivenUpGangIsNotAckedByNextOwner(t *testing.T) {
+	h := newCellHarness(t, "a")
+	step := newStep(2, 500)
+	step.Gang = true
+	h.add("j", "checks", step)
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 2)
+	silent := h.runners["a"]
+	h.silence("a", "b")
+	assert.DeepEqual(t, h.acceptStarts("b"), []framer.RunRef{runRef("j.0.0.0", 2), runRef("j.0.0.1", 2)})
+	h.takeOver()
+	h.finishSilent(silent, framer.FinishDone)
+	assert.Equal(t, h.cell.Sync(h.now, "a", true).AckedSequence, int64(0))
+}
+
+// silence ends the reports of an agent for longer than a lease, and lets another agent
+// report an empty runner.
+func (h *cellHarness) silence(agent, other string) {
+	h.t.Helper()
+	r := *h.runners[agent]
+	delete(h.runners, agent)
+	h.cell.AgentDisconnected(agent)
+	r.Running = nil
+	r.Runner.Key.ID = "i-" + other
+	h.runners[other] = &r
+	h.advance(MaxLease(testLease) + time.Second)
+}
