RED: the failure of a run that a former owner gave up is acknowledged uncounted

A task that has failed MaxFailures times is started once more (BUDGET). requireFor asks for the proof of expiry only if the run was done; a failure of a run that is not the task's current one is acknowledged with the first listing, and the task's failures stay as they are. The same owner is covered by loseExpiredRuns, the next one is not.

ruled out: the harness. For the same owner TestFailureOfGivenUpRunIsCountedOrNotAcked passes.

go test ./pkg/scheduler -run TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner: 1 acknowledged, 0 failures.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -63,3 +63,14 @@
 	h.runners[other] = &r
 	h.advance(MaxLease(testLease) + time.Second)
 }
+
+// Guards against a task that starts after its last allowed failure: the former owner gave
+// the run up, and the next one acknowledges that it failed without counting that.
+func TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner(t *testing.T) {
+	h, silent := newGivenUpHarness(t)
+	h.takeOver()
+	h.finishSilent(silent, framer.FinishFailed)
+	acked := h.cell.Sync(h.now, "a", true).AckedSequence
+	failures := h.cell.jobs["j"].occurrences[0].steps[0][0].failures
+	assert.Assert(t, acked == 0 || failures == 1, "%d acknowledged, %d failures", acked, failures)
+}
