RED: an end is acknowledged, and then its task starts again under a new owner

A former owner gave a run up and found no room for the next one. The row has the run's number and no runner, so the end is not of the task's current run, and requireFor takes its number for that of the current one (e.Run >= t.run). The end is acknowledged with the first listing, and run 2 starts after that (TWICE). Either the end has to count or it has to wait for the proof.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -74,3 +74,21 @@
 	failures := h.cell.jobs["j"].occurrences[0].steps[0][0].failures
 	assert.Assert(t, acked == 0 || failures == 1, "%d acknowledged, %d failures", acked, failures)
 }
+
+// Guards against a task that starts again after its end was acknowledged: the former owner
+// gave its run up and found no room for the next one, so that the end has the number of the
+// task's last run.
+func TestEndOfGivenUpRunIsNotAckedByNextOwnerBeforeNextRun(t *testing.T) {
+	h := newCellHarness(t, "a")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 1)
+	silent := h.runners["a"]
+	delete(h.runners, "a")
+	h.cell.AgentDisconnected("a")
+	h.advance(MaxLease(testLease) + time.Second)
+	h.takeOver()
+	h.finishSilent(silent, framer.FinishDone)
+	sync := h.cell.Sync(h.now, "a", true)
+	assert.Assert(t, sync.AckedSequence == 0 || len(sync.Starts) == 0, "%d acknowledged, %v starts", sync.AckedSequence, sync.Starts)
+}
