RED: a lease that nobody knows of is proven to have expired

A new owner has granted nothing, and an agent that restarted reports LeaseUntilMillis 0, so grantedUntilMillis is 0 and the first two readings 100 ms apart complete the proof, whatever the former owner granted. By the runner's clock the lease goes on for 100 ms and more in the test. A bound that holds without knowledge is the first reading plus the longest lease.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -92,3 +92,23 @@
 	sync := h.cell.Sync(h.now, "a", true)
 	assert.Assert(t, sync.AckedSequence == 0 || len(sync.Starts) == 0, "%d acknowledged, %v starts", sync.AckedSequence, sync.Starts)
 }
+
+// Guards against an end that is acknowledged, and a lease that is renewed, before the lease
+// that a former owner granted has expired: an agent that has restarted knows of no lease, so
+// that any reading counts as one after its end.
+func TestLeaseOfFormerOwnerIsNotProvenExpiredByRestartedAgent(t *testing.T) {
+	h := newCellHarness(t, "a")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 1)
+	until := h.grantedUntil("a")
+	silent := h.runners["a"]
+	delete(h.runners, "a")
+	h.takeOver()
+	h.advance(MaxLease(testLease) + time.Second)
+	assert.Equal(t, h.cell.Counts.Lost, int64(1))
+	h.finishSilent(silent, framer.FinishDone)
+	h.readClock("a", until-2*expirySettleMillis)
+	h.readClock("a", until-expirySettleMillis)
+	assertWithheld(t, h, "a")
+}
