RED: the proof of expiry ignores the lease that a delayed call can have granted

The owner waits for delayedLeaseEnd before it gives a run up, since a delayed call for an earlier incarnation under the same id grants up to the longest lease. grantedUntilMillis has only what was granted to this incarnation, so two readings after that complete the proof although the other lease may go on.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -112,3 +112,29 @@
 	h.readClock("a", until-expirySettleMillis)
 	assertWithheld(t, h, "a")
 }
+
+// Guards against an end that is acknowledged, and a lease that is renewed, before the lease
+// has expired that a delayed call for an earlier incarnation can have granted: it is longer
+// than the ones that the owner granted.
+func TestDelayedLeaseIsNotProvenExpiredByGrantedOnes(t *testing.T) {
+	const longest = 30 * time.Second
+	h := newCellHarness(t, "a")
+	h.cell.cfg.LongestLease = longest
+	h.report("a")
+	r := h.runners["a"]
+	r.Runner.Key.StartedAtMillis++
+	r.ClockMillis = 0
+	h.report("a")
+	h.add("j", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	assert.Equal(t, len(h.acceptStarts("a")), 1)
+	until := h.grantedUntil("a")
+	delete(h.runners, "a")
+	h.cell.AgentDisconnected("a")
+	h.advance(maxCallDelay + MaxLease(longest) + time.Second)
+	assert.Equal(t, h.cell.Counts.Lost, int64(1))
+	h.finishSilent(r, framer.FinishDone)
+	h.readClock("a", until+1)
+	h.readClock("a", until+1+expirySettleMillis)
+	assertWithheld(t, h, "a")
+}
