RED: a second stop between two readings passes for time without a lease

A process that was stopped may answer a call that waits before its timers end its lease; hence two readings 100 ms apart. Any later reading counts as the second one. A runner that is stopped again right after the first answers the next call in the same way, seconds later by its clock, and has had no time in between. Readings that are far apart show nothing; a sequence of close ones does.

Not seen with a real process.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -138,3 +138,15 @@
 	h.readClock("a", until+1+expirySettleMillis)
 	assertWithheld(t, h, "a")
 }
+
+// Guards against an end that is acknowledged, and a lease that is renewed, by a runner that
+// has not noticed yet that its lease has expired: it was stopped again between two readings
+// of its clock, and answered each time before its timers.
+func TestReadingsAroundAnotherStopProveNothing(t *testing.T) {
+	h := loseByLease(t)
+	until := h.grantedUntil("x")
+	h.readClock("x", until+1)
+	h.now = h.now.Add(testLease)
+	h.readClock("x", until+1+testLease.Milliseconds())
+	assertWithheld(t, h, "x")
+}
