RED: a task is started on a runner whose lease is not renewed

Work is lost and a task waits. Once requireFor has asked for the proof, a runner gets no lease and no new task, but Sync still sends the starts that were placed before. On a runner whose lease goes on, the run starts and ends with the lease within seconds. Where the lease is over, the agent holds the start for a second and gives it back, which counts as a refusal of that runner.

go test ./pkg/scheduler -run TestRunnerWithoutRenewalGetsNoPlacedTask: 1 start instead of 0, with no lease.

--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -150,3 +150,19 @@
 	h.readClock("x", until+1+testLease.Milliseconds())
 	assertWithheld(t, h, "x")
 }
+
+// Guards against work that is lost: a task that was placed on a runner starts there once its
+// lease is no longer renewed, and ends with that lease.
+func TestRunnerWithoutRenewalGetsNoPlacedTask(t *testing.T) {
+	h, silent := newGivenUpHarness(t)
+	h.takeOver()
+	delete(h.runners, "b")
+	h.runners["a"] = silent
+	h.report("a")
+	h.add("k", "checks", newStep(1, 500))
+	h.tickUntilIdle()
+	h.finishSilent(silent, framer.FinishDone)
+	sync := h.cell.Sync(h.now, "a", true)
+	assert.Equal(t, sync.LeaseUntilMillis, int64(0))
+	assert.Equal(t, len(sync.Starts), 0)
+}
