--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -129,6 +129,9 @@
 	// LeaseUntilMillis is the latest end of a lease that the agent knows of, by the same
 	// clock; 0 if it knows of none.
 	LeaseUntilMillis int64 `cbor:"lease-until-millis,omitempty"`
+	// ExpiredSequence is the number of the last finished run since which the runner's lease
+	// is known to have expired.
+	ExpiredSequence int64 `cbor:"expired-number,omitempty"`
 	// Listed is set once the runner has listed its runs; ListingAgeMillis is
 	// the time since it last did.
 	Listed           bool  `cbor:"fresh,omitempty"`
--- a/pkg/scheduler/expiry.go
+++ b/pkg/scheduler/expiry.go
@@ -4,17 +4,12 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
-const (
-	// expirySettleMillis is how long, by its own clock, a runner must have continued
-	// without a lease before it is granted another one: a process that was stopped
-	// notices the end of its lease late.
-	expirySettleMillis = 100
-	// expiryTTL is how long a lost runner is remembered whose lease was not proven to have
-	// expired.
-	expiryTTL = 10 * time.Minute
-)
+// expiryTTL is how long a lost runner is remembered whose lease was not proven to have
+// expired.
+const expiryTTL = 10 * time.Minute
 
 // expiry is the proof, by the runner's own clock, that its lease has expired. It is needed
 // once runs were released because of that: one of them may turn out to have finished, and
@@ -24,15 +19,8 @@
 	// due is set while the proof is needed, proven once it was given.
 	due    bool
 	proven bool
-	// readMillis is the first reading of the clock after the end of the lease, or 0.
-	readMillis int64
-}
-
-// require records that runs were released because the lease has expired.
-func (e *expiry) require() {
-	*e = expiry{
-		due: true,
-	}
+	// settling has the readings of the clock from after the end of the lease.
+	settling leaser.Settling
 }
 
 // prove processes a reading of the runner's clock, and reports whether it completes the
@@ -41,31 +29,46 @@
 	if !e.due || clockMillis <= untilMillis {
 		return false
 	}
-	if e.readMillis == 0 {
-		e.readMillis = clockMillis
-	}
-	e.proven = clockMillis-e.readMillis >= expirySettleMillis
+	e.settling.Read(clockMillis)
+	e.proven = e.settling.Done()
 	e.due = !e.proven
 	return e.proven
 }
 
+// requireExpiry requires the proof, since runs were released because the lease has expired
+// by this process's clock: so much later than the last reading must the runner's clock be.
+func (s *runnerState) requireExpiry(now time.Time) {
+	if s.clockMillis > 0 {
+		s.grantedUntilMillis = max(s.grantedUntilMillis, s.clockMillis+now.Sub(s.clockAt).Milliseconds())
+	}
+	s.expiry = expiry{
+		due: true,
+	}
+}
+
 // requireFor requires the proof for a finished run that is not its task's current one, if the
-// task has started again although the run was done. The run was released without the
-// runner's word, perhaps by a former owner.
-func (c *Cell) requireFor(s *runnerState, e framer.FinishedRun) {
+// run was done and the task is to run again or does: the run was released without the
+// runner's word, perhaps by a former owner. The agent may know that the lease has expired
+// since the end.
+func (c *Cell) requireFor(s *runnerState, r framer.Report, e framer.FinishedRun) {
 	t := c.taskByName(e.Task)
-	if t == nil || e.Reason != framer.FinishDone || e.Run >= t.run || t.spec().LongRunning || t.spec().Gang {
+	if t == nil || e.Reason != framer.FinishDone || t.spec().LongRunning || t.done && e.Run == t.run {
 		return
 	}
-	if !s.expiry.due && !s.expiry.proven {
-		s.expiry.require()
+	if s.expiry.due || s.expiry.proven || e.Sequence <= r.ExpiredSequence {
+		return
 	}
+	s.expiry.due = true
 }
 
 // proveExpiry processes the reading of the runner's clock in a report. The agent may know
-// of a lease that this owner did not grant.
+// of a lease that this owner did not grant. If neither knows of any, that of a former owner
+// lasts no longer than the longest one.
 func (c *Cell) proveExpiry(s *runnerState, r framer.Report) {
 	s.grantedUntilMillis = max(s.grantedUntilMillis, r.LeaseUntilMillis)
+	if s.expiry.due && s.grantedUntilMillis == 0 {
+		s.grantedUntilMillis = r.ClockMillis + c.cfg.LongestLease.Milliseconds()
+	}
 	if !s.expiry.prove(r.ClockMillis, s.grantedUntilMillis) {
 		return
 	}
--- a/pkg/scheduler/expiry_test.go
+++ b/pkg/scheduler/expiry_test.go
@@ -7,12 +7,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 // readClock lets an agent report a reading of its runner's clock.
 func (h *cellHarness) readClock(agent string, clockMillis int64) {
 	h.t.Helper()
-	h.now = h.now.Add(expirySettleMillis * time.Millisecond)
+	h.now = h.now.Add(leaser.SettleMillis * time.Millisecond)
 	h.runners[agent].ClockMillis = clockMillis
 	h.report(agent)
 	h.tickUntilIdle()
@@ -67,14 +68,14 @@
 		h := loseByLease(t)
 		h.readClock("x", h.grantedUntil("x")+1)
 		assertWithheld(t, h, "x")
-		h.readClock("x", h.grantedUntil("x")+expirySettleMillis)
+		h.readClock("x", h.grantedUntil("x")+leaser.SettleMillis)
 		assertWithheld(t, h, "x")
 	})
 	t.Run("two readings apart prove it", func(t *testing.T) {
 		h := loseByLease(t)
 		until := h.grantedUntil("x")
 		h.readClock("x", until+1)
-		h.readClock("x", until+1+expirySettleMillis)
+		h.readClock("x", until+1+leaser.SettleMillis)
 		sync := h.cell.Sync(h.now, "x", true)
 		assert.Equal(t, sync.AckedSequence, int64(1))
 		assert.Equal(t, sync.LeaseUntilMillis, h.cell.agents["x"].clockMillis+testLease.Milliseconds())
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -10,12 +10,12 @@
 // no evidence against its runner.
 const provenWork = 10 * time.Second
 
-// runFinished processes a finished run.
-func (c *Cell) runFinished(now time.Time, s *runnerState, e framer.FinishedRun) {
+// runFinished processes a finished run in a report.
+func (c *Cell) runFinished(now time.Time, s *runnerState, r framer.Report, e framer.FinishedRun) {
 	s.removeUnexpected(e.RunRef)
 	t := c.currentTask(s, e.RunRef)
 	if t == nil {
-		c.requireFor(s, e)
+		c.requireFor(s, r, e)
 		if e.Reason != framer.FinishNeverStarted {
 			c.cfg.LogEvent("finished run is not current", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason,
 				"number", e.Sequence, "lease-until-millis", s.grantedUntilMillis, "clock-millis", s.clockMillis)
--- a/pkg/scheduler/incarnations_test.go
+++ b/pkg/scheduler/incarnations_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 func TestLostRunner(t *testing.T) {
@@ -41,7 +42,7 @@
 	t.Run("until the runner's clock proves that its lease has expired", func(t *testing.T) {
 		h.readClock(lost, h.grantedUntil(lost)+1)
 		assertWithheld(t, h, lost)
-		h.readClock(lost, h.grantedUntil(lost)+1+expirySettleMillis)
+		h.readClock(lost, h.grantedUntil(lost)+1+leaser.SettleMillis)
 		sync := h.cell.Sync(h.now, lost, true)
 		assert.Equal(t, sync.AckedSequence, int64(1))
 		assert.Assert(t, sync.LeaseUntilMillis > 0)
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -40,7 +40,7 @@
 	c.recordLapse(now, s, lost)
 	for _, t := range lost {
 		if t.startSent {
-			s.expiry.require()
+			s.requireExpiry(now)
 		}
 		if t.runner == s {
 			c.loseRun(t, "lease expired")
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -51,7 +51,7 @@
 		if t := c.taskByName(e.Task); t != nil {
 			j = t.job
 		}
-		c.runFinished(now, s, e)
+		c.runFinished(now, s, r, e)
 		s.recordFinished(e.Sequence, c.change, j)
 	}
 	if listed {
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -29,7 +29,7 @@
 		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
 	c.withdrawStarts(s)
-	if granting {
+	if granting && !s.expiry.due {
 		sync.Starts = c.starts(now, s)
 	}
 	for t := range s.tasks {
--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 // takeOver replaces the harness's cell by that of the next owner, which loads job j from
@@ -108,8 +109,8 @@
 	h.advance(MaxLease(testLease) + time.Second)
 	assert.Equal(t, h.cell.Counts.Lost, int64(1))
 	h.finishSilent(silent, framer.FinishDone)
-	h.readClock("a", until-2*expirySettleMillis)
-	h.readClock("a", until-expirySettleMillis)
+	h.readClock("a", until-2*leaser.SettleMillis)
+	h.readClock("a", until-leaser.SettleMillis)
 	assertWithheld(t, h, "a")
 }
 
@@ -135,7 +136,7 @@
 	assert.Equal(t, h.cell.Counts.Lost, int64(1))
 	h.finishSilent(r, framer.FinishDone)
 	h.readClock("a", until+1)
-	h.readClock("a", until+1+expirySettleMillis)
+	h.readClock("a", until+1+leaser.SettleMillis)
 	assertWithheld(t, h, "a")
 }
 
@@ -166,3 +167,15 @@
 	assert.Equal(t, sync.LeaseUntilMillis, int64(0))
 	assert.Equal(t, len(sync.Starts), 0)
 }
+
+// Guards against work that is lost: a runner's lease had to expire once more for an end that
+// an earlier expiry had followed already, which its agent knows.
+func TestEndOfSupersededRunNeedsNoSecondExpiry(t *testing.T) {
+	h, silent := newGivenUpHarness(t)
+	h.takeOver()
+	silent.ExpiredSequence = 1
+	h.finishSilent(silent, framer.FinishDone)
+	sync := h.cell.Sync(h.now, "a", true)
+	assert.Equal(t, sync.AckedSequence, int64(1))
+	assert.Assert(t, sync.LeaseUntilMillis > 0)
+}
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 const (
@@ -141,11 +142,17 @@
 	epoch uint64
 	// leaseUntilMillis is the end of the lease that calls carry, grantedUntilMillis that
 	// of the last one that the owner granted. expiredMillis is the first reading of the
-	// runner's clock after leaseUntilMillis, or 0.
-	leaseUntilMillis   int64
-	grantedUntilMillis int64
-	expiredMillis      int64
-	ackedSequence      int64
+	// runner's clock after leaseUntilMillis, or 0, and settling has all of them.
+	// expiredSequence is the number of the last finished run since which a lease has
+	// expired.
+	// confirmedUntilMillis is the latest end of a lease in a call that was answered.
+	leaseUntilMillis     int64
+	grantedUntilMillis   int64
+	expiredMillis        int64
+	settling             leaser.Settling
+	expiredSequence      int64
+	confirmedUntilMillis int64
+	ackedSequence        int64
 	// deliveredAckSequence is the highest acknowledged sequence number that the
 	// runner has confirmed to have received.
 	deliveredAckSequence int64
@@ -312,6 +319,7 @@
 		Runner:           c.runner,
 		ClockMillis:      c.clockMillis,
 		LeaseUntilMillis: c.grantedUntilMillis,
+		ExpiredSequence:  c.expiredSequence,
 		Listed:           !c.listedAt.IsZero(),
 		Unanswered:       c.unansweredRenewals >= maxUnansweredRenewals,
 		ListedEpoch:      c.listedEpoch,
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 const (
@@ -160,6 +161,9 @@
 	c.leaseUntilMillis = 0
 	c.grantedUntilMillis = 0
 	c.expiredMillis = 0
+	c.settling = leaser.Settling{}
+	c.expiredSequence = 0
+	c.confirmedUntilMillis = 0
 	c.running = nil
 	c.finished = nil
 	c.commands = map[framer.RunRef]*command{}
--- a/pkg/supervisor/lease.go
+++ b/pkg/supervisor/lease.go
@@ -1,9 +1,10 @@
 package supervisor
 
-// expirySettleMillis is how long, by its own clock, a runner must have continued without
-// a lease before it gets another one or an acknowledgement: a process that was stopped
-// notices the end of its lease late.
-const expirySettleMillis = 100
+import "github.com/bilberrywalk/bilberrywalk/pkg/leaser"
+
+// expiryPollMillis is how long after the end of a lease, by the runner's clock, the runner is
+// listed without a wait, and each reading of its clock reported.
+const expiryPollMillis = 2000
 
 // grantLease records a lease that the owner granted, by its end on the runner's clock.
 func (c *Core) grantLease(untilMillis int64) {
@@ -14,10 +15,12 @@
 // advanceClock records a reading of the runner's clock.
 func (c *Core) advanceClock(clockMillis int64) {
 	c.clockMillis = max(c.clockMillis, clockMillis)
-	if c.leaseExpired() && c.expiredMillis == 0 {
-		c.expiredMillis = c.clockMillis
+	if c.leaseExpired() {
+		if c.expiredMillis == 0 {
+			c.expiredMillis = c.clockMillis
+		}
+		c.settling.Read(c.clockMillis)
 	}
-	c.adoptLease()
 }
 
 // leaseExpired reports whether the last lease is over by the runner's own clock.
@@ -26,16 +29,28 @@
 }
 
 // expirySettling reports whether the runner may not have noticed yet that its lease has
-// expired.
+// expired. Until it has, it gets neither another lease nor an acknowledgement.
 func (c *Core) expirySettling() bool {
-	return c.leaseExpired() && c.clockMillis-c.expiredMillis < expirySettleMillis
+	return c.leaseExpired() && !c.settling.Done()
 }
 
-// adoptLease lets the next calls carry the lease that was granted last.
+// expiredLately reports whether the owner waits for readings of the runner's clock.
+func (c *Core) expiredLately() bool {
+	return c.leaseExpired() && c.clockMillis-c.expiredMillis <= expiryPollMillis
+}
+
+// adoptLease lets the next calls carry the lease that was granted last. What has finished by
+// then did so before the end of the last one.
 func (c *Core) adoptLease() {
 	if c.grantedUntilMillis <= c.leaseUntilMillis || c.expirySettling() {
 		return
 	}
+	if c.leaseExpired() {
+		for _, e := range c.finished {
+			c.expiredSequence = max(c.expiredSequence, e.Sequence)
+		}
+	}
 	c.leaseUntilMillis = c.grantedUntilMillis
 	c.expiredMillis = 0
+	c.settling = leaser.Settling{}
 }
--- a/pkg/supervisor/lease_test.go
+++ b/pkg/supervisor/lease_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 )
 
 // assertNextRenewal checks which lease and which acknowledgement the next renewal carries.
@@ -48,14 +49,17 @@
 	})
 	t.Run("nor after another reading that is too early", func(t *testing.T) {
 		h := expired(t)
-		h.answerRenewal(9000+expirySettleMillis-1, Listing{})
+		h.answerRenewal(9000+leaser.SettleMillis-1, Listing{})
 		h.advance(renewBackoff)
 		assertNextRenewal(t, h, 7000, 0)
 	})
-	t.Run("it carries both once the runner has continued without a lease", func(t *testing.T) {
+	t.Run("it carries the lease once the runner has continued without one, and then the acknowledgement", func(t *testing.T) {
 		h := expired(t)
-		h.answerRenewal(9000+expirySettleMillis, Listing{})
+		h.answerRenewal(9000+leaser.SettleMillis, Listing{})
 		h.advance(renewBackoff)
+		assertNextRenewal(t, h, 15_000, 0)
+		h.answerRenewal(9500, Listing{})
+		h.tick()
 		assertNextRenewal(t, h, 15_000, 3)
 	})
 	t.Run("each reading is reported meanwhile", func(t *testing.T) {
@@ -67,6 +71,20 @@
 		assert.Equal(t, h.reports[before].ClockMillis, int64(9050))
 		assert.Equal(t, h.reports[before].LeaseUntilMillis, int64(15_000))
 	})
+	t.Run("finished runs that the expiry follows are reported as such", func(t *testing.T) {
+		h := expired(t)
+		h.answerRenewal(9000+leaser.SettleMillis, Listing{
+			Finished: []framer.FinishedRun{{
+				RunRef:   ref("a.0.0.0"),
+				Sequence: 4,
+				Reason:   framer.FinishDone,
+			}},
+		})
+		h.advance(reportInterval)
+		h.answerRenewal(9700, Listing{})
+		h.advance(reportInterval)
+		assert.Equal(t, h.reports[len(h.reports)-1].ExpiredSequence, int64(4))
+	})
 	t.Run("a lease that has not expired is renewed at once", func(t *testing.T) {
 		h := newCoreHarness(t)
 		h.answerRenewal(1000, Listing{})
@@ -80,6 +98,9 @@
 		h.advance(renewBackoff)
 		h.answerRenewal(1100, Listing{})
 		h.advance(renewBackoff)
+		assertNextRenewal(t, h, 8000, 0)
+		h.answerRenewal(1200, Listing{})
+		h.tick()
 		assertNextRenewal(t, h, 8000, 2)
 	})
 }
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -61,9 +61,10 @@
 // ackToSend returns the acknowledged sequence number, or 0 if the runner has
 // confirmed it. It is sent no more often than needed: a renewal without a
 // response may be carried out by a later incarnation, which numbers its
-// finished runs from the start.
+// finished runs from the start. It waits until the runner has a lease that is in force: a
+// runner may note the end of the former one only with the renewal.
 func (c *Core) ackToSend() int64 {
-	if c.deliveredAckSequence >= c.ackedSequence || c.expirySettling() {
+	if c.deliveredAckSequence >= c.ackedSequence || c.confirmedUntilMillis <= c.clockMillis {
 		return 0
 	}
 	return c.ackedSequence
@@ -75,7 +76,7 @@
 // where the run is. After the end of a lease, the owner waits for further readings of the
 // runner's clock.
 func (c *Core) listingWait() time.Duration {
-	if c.unansweredRenewals > 0 || c.verifyDue || c.leaseExpired() {
+	if c.unansweredRenewals > 0 || c.verifyDue || c.expiredLately() {
 		return 0
 	}
 	for _, cmd := range c.commands {
@@ -141,18 +142,20 @@
 		c.listedEpoch = call.Header.Epoch
 		c.scheduleReport(now)
 	}
+	c.confirmedUntilMillis = max(c.confirmedUntilMillis, call.Header.LeaseUntilMillis)
 	c.advanceClock(l.ClockMillis)
 	c.deliveredAckSequence = max(c.deliveredAckSequence, call.AckedSequence)
 	hasNew := c.applyListing(l)
+	c.adoptLease()
 	c.resolveVerifying(now, call, l)
-	if hasNew || c.leaseExpired() {
+	if hasNew || c.expiredLately() {
 		c.scheduleReport(now)
 	}
 	if call.Purpose == PurposeVerify {
 		return
 	}
 	c.throttler.measure(now, l.Running)
-	if c.leaseExpired() || len(c.finished) > 0 && c.deliveredAckSequence >= c.ackedSequence {
+	if c.expiredLately() || len(c.finished) > 0 && c.deliveredAckSequence >= c.ackedSequence {
 		c.nextRenewal = now.Add(renewBackoff)
 	}
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -197,15 +197,21 @@
 guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
-guard released-runs-need-proof-of-expiry pkg/scheduler/leases.go 's/^\t\t\ts.expiry.require\(\)//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard released-runs-need-proof-of-expiry pkg/scheduler/leases.go 's/^\t\t\ts.requireExpiry\(now\)//' pkg/scheduler TestFailureOfGivenUpRunIsCountedOrNotAcked$
 guard no-acknowledgement-without-proof pkg/scheduler/runner_state.go '/^func \(s \*runnerState\) ackCommitted/,/^\}/s/if s.expiry.due/if false/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard no-lease-without-proof pkg/scheduler/leases.go 's/ \&\& !s.expiry.due//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard leases-of-the-agent-count pkg/scheduler/expiry.go 's/max\(s.grantedUntilMillis, r.LeaseUntilMillis\)/s.grantedUntilMillis/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
-guard superseded-done-needs-proof pkg/scheduler/finished_run.go 's/^\t\tc.requireFor\(s, e\)//' pkg/scheduler TestEndOfGivenUpRunIsNotAckedByEarlierListing
+guard superseded-done-needs-proof pkg/scheduler/finished_run.go 's/^\t\tc.requireFor\(s, r, e\)//' pkg/scheduler TestEndOfGivenUpRunIsNotAckedByEarlierListing
 guard leave-notice-is-no-proof pkg/supervisor/heartbeat.go 's/ \&\& c.unansweredRenewals >= maxUnansweredRenewals//' pkg/supervisor TestDelayedLeaveNoticeEndsNoDrainingIncarnation
+guard readings-around-a-stop-prove-nothing pkg/leaser/settling.go 's/ \|\| clockMillis-s.lastMillis > maxReadingGapMillis//' pkg/scheduler TestReadingsAroundAnotherStopProveNothing
+guard unknown-lease-is-the-longest pkg/scheduler/expiry.go 's/s.expiry.due \&\& s.grantedUntilMillis == 0/false/' pkg/scheduler TestLeaseOfFormerOwnerIsNotProvenExpiredByRestartedAgent
+guard owners-wait-counts-on-the-runners-clock pkg/scheduler/expiry.go 's/if s.clockMillis > 0 \{/if false {/' pkg/scheduler TestDelayedLeaseIsNotProvenExpiredByGrantedOnes
+guard no-start-without-lease pkg/scheduler/sync.go 's/granting \&\& !s.expiry.due/granting/' pkg/scheduler TestRunnerWithoutRenewalGetsNoPlacedTask
+guard released-and-unplaced-needs-proof pkg/scheduler/expiry.go 's/ \|\| t.done \&\& e.Run == t.run \{/ || e.Run == t.run {/' pkg/scheduler TestEndOfGivenUpRunIsNotAckedByNextOwnerBeforeNextRun
+guard agent-knows-of-the-expiry pkg/scheduler/expiry.go 's/ \|\| e.Sequence <= r.ExpiredSequence//' pkg/scheduler TestEndOfSupersededRunNeedsNoSecondExpiry
 guard expired-lease-settles pkg/supervisor/lease.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
-guard acknowledgement-waits-for-expiry pkg/supervisor/listing.go 's/ \|\| c.expirySettling\(\)//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
+guard acknowledgement-waits-for-lease pkg/supervisor/listing.go 's/ \|\| c.confirmedUntilMillis <= c.clockMillis//' pkg/supervisor TestExpiredLeaseIsRenewedOnlyOnceTheRunnerHasNoticed
 guard later-incarnation-takes-runs pkg/scheduler/incarnations.go 's/sameAgent := s.info.Address != ""/sameAgent := false/' pkg/scheduler TestLaterIncarnationWithEarlierStartTimeTakesRuns
 guard unread-listing-ages pkg/supervisor/listing.go 's/c.listedAt = c.madeBy\(now, l\)/c.listedAt = now/' pkg/supervisor TestListingThatWaitedUnreadIsAsOldAsItIs
 guard replaced-incarnation-is-not-used pkg/supervisor/claim.go 's/return c.answeredBy != 0/return false/' pkg/supervisor TestIncarnationThatAnotherAnsweredForIsNotUsed
