supervisor: speed limits follow what runs now

callers saw: best-effort work that was limited to 0 % beside a latency-critical task hung for good once that task's job was cancelled. cause: the agent dropped its limits with the last latency-critical run and left them at the runner; a new agent took all runs to be at full speed; a call that got lost or was carried out late was never repeated. ruled out: to have the owner name the limits, which would leave the work paused while there is no owner. change: the agent keeps the limit of each listed run, lifts all of them once no latency-critical run is listed or known to the owner, sets those that it finds at its first listing, and sends a limit until the runner has accepted it and no earlier call can follow.

--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -272,7 +272,7 @@
 		a.group.Go(func() error {
 			call := *action.SetSpeed
 			answer, err := a.runner.SetSpeed(a.ctx, call.Header, call.Ref, call.Percent)
-			a.log.Info("speed limit change sent", "task", call.Ref.Task, "run", call.Ref.Run, "percent", call.Percent, "refusal", answer.Refusal, "error", err)
+			a.loop.Post(func(now time.Time) { a.speedSet(now, call, answer, err) })
 			return nil
 		})
 	}
@@ -333,3 +333,16 @@
 			"refusal", answer.Refusal, "error", err, "repeats", repeats)
 	}
 }
+
+func (a *Agent) speedSet(now time.Time, call SetSpeedCall, answer Answer, err error) {
+	a.core.SpeedSet(now, call, answer, err)
+	repeats, due := a.answers.due(now, loggedCall{
+		speed:   true,
+		percent: call.Percent,
+		ref:     call.Ref,
+	}, answer, err)
+	if due {
+		a.log.Info("speed limit change sent", "task", call.Ref.Task, "run", call.Ref.Run, "percent", call.Percent,
+			"refusal", answer.Refusal, "error", err, "repeats", repeats)
+	}
+}
--- a/pkg/supervisor/answer_log.go
+++ b/pkg/supervisor/answer_log.go
@@ -28,6 +28,9 @@
 type loggedCall struct {
 	stop bool
 	ref  framer.RunRef
+	// speed is set for a speed limit, which is percent then.
+	speed   bool
+	percent int
 }
 
 // loggedAnswer is the last answer to a call that was logged.
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -95,11 +95,15 @@
 	Ref    framer.RunRef
 }
 
-// SetSpeedCall sets the speed limit of a run, in percent.
+// SetSpeedCall sets the speed limit of a run, in percent. Its result is passed to
+// SpeedSet.
 type SetSpeedCall struct {
 	Header  CallHeader
 	Ref     framer.RunRef
 	Percent int
+	// Number counts the calls to the known incarnation.
+	Number uint64
+	SentAt time.Time
 }
 
 // Core makes the decisions of one agent. It does no I/O and is not safe for
@@ -151,6 +155,7 @@
 	running           []framer.RunStatus
 	finished          []framer.FinishedRun
 	throttler         *throttler
+	speedCalls        *speedCalls
 
 	renewing bool
 	// verifying is set while a listing is requested beside the renewals, and
@@ -189,6 +194,7 @@
 		commands:          map[framer.RunRef]*command{},
 		unconfirmedStarts: map[framer.RunRef]time.Time{},
 		throttler:         newThrottler(),
+		speedCalls:        newSpeedCalls(),
 	}
 }
 
@@ -237,7 +243,7 @@
 	c.probeClaims(now)
 	c.renewLease(now)
 	c.verifyStarts()
-	c.adjustSpeeds(now)
+	c.setSpeeds(now)
 	if c.known && !now.Before(c.nextReport) && !c.fencePending() {
 		c.report(now)
 	}
@@ -275,19 +281,6 @@
 	}
 }
 
-func (c *Core) adjustSpeeds(now time.Time) {
-	for _, change := range c.throttler.decide(now, c.running) {
-		c.Counts.SpeedChanges++
-		c.actions = append(c.actions, Action{
-			SetSpeed: &SetSpeedCall{
-				Header:  c.callHeader(),
-				Ref:     change.ref,
-				Percent: change.percent,
-			},
-		})
-	}
-}
-
 // scheduleReport schedules a report after reportBatchDelay, unless an earlier
 // one is due.
 func (c *Core) scheduleReport(now time.Time) {
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -152,6 +152,7 @@
 	c.finished = nil
 	c.commands = map[framer.RunRef]*command{}
 	c.throttler = newThrottler()
+	c.speedCalls = newSpeedCalls()
 	c.nextRenewal = time.Time{}
 	for _, ref := range fences {
 		c.commands[ref] = &command{
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -168,6 +168,7 @@
 		latest = max(latest, e.Sequence)
 	}
 	c.running = l.Running
+	c.throttler.record(l.Running, len(l.Malformed) > 0)
 	c.finished = c.finished[:0]
 	hasNew := false
 	for _, e := range l.Finished {
--- a/pkg/supervisor/throttler.go
+++ b/pkg/supervisor/throttler.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
@@ -32,11 +33,19 @@
 type throttler struct {
 	// targetMillis is the target latency of each latency-critical run.
 	targetMillis map[framer.RunRef]float64
-	// speeds is the speed limit of each best-effort run, in percent, and
-	// interference its learned slowdown of the latency-critical runs at full
-	// speed.
-	speeds       map[framer.RunRef]int
+	// interference is the learned slowdown of the latency-critical runs by each
+	// best-effort run at full speed.
 	interference map[framer.RunRef]float64
+	// speeds is the speed limit of each listed run, in percent. It is a guess for the
+	// runs in unknown, whose limit an earlier agent may have set.
+	speeds  map[framer.RunRef]int
+	unknown map[framer.RunRef]struct{}
+	// informed is set once the owner has sent which runs are latency-critical, and
+	// listed once a listing without malformed rows was received.
+	informed bool
+	listed   bool
+	// partial is set if rows of the last listing were malformed.
+	partial bool
 	// worstShare is the highest tail latency of a latency-critical run as a
 	// share of its target.
 	worstShare float64
@@ -56,31 +65,54 @@
 func newThrottler() *throttler {
 	return &throttler{
 		targetMillis: map[framer.RunRef]float64{},
-		speeds:       map[framer.RunRef]int{},
 		interference: map[framer.RunRef]float64{},
+		speeds:       map[framer.RunRef]int{},
+		unknown:      map[framer.RunRef]struct{}{},
 	}
 }
 
 // setSharing replaces the sets of latency-critical and best-effort runs. Speed
-// limits of known best-effort runs are kept.
+// limits are kept.
 func (t *throttler) setSharing(sharing []framer.Sharing) {
-	targetMillis := map[framer.RunRef]float64{}
-	speeds := map[framer.RunRef]int{}
-	interference := map[framer.RunRef]float64{}
+	t.informed = true
+	t.targetMillis = map[framer.RunRef]float64{}
+	t.interference = map[framer.RunRef]float64{}
 	for _, s := range sharing {
 		if s.TargetMillis > 0 {
-			targetMillis[s.RunRef] = s.TargetMillis
+			t.targetMillis[s.RunRef] = s.TargetMillis
 			continue
 		}
-		interference[s.RunRef] = s.Interference
-		speeds[s.RunRef] = fullSpeedPercent
-		if speed, ok := t.speeds[s.RunRef]; ok {
-			speeds[s.RunRef] = speed
+		t.interference[s.RunRef] = s.Interference
+	}
+}
+
+// record records which runs are listed. A run starts at full speed, but one that was
+// there before the first listing may have got a limit from an earlier agent. Rows of a
+// partial listing may be missing.
+func (t *throttler) record(running []framer.RunStatus, partial bool) {
+	t.partial = partial
+	speeds := map[framer.RunRef]int{}
+	unknown := map[framer.RunRef]struct{}{}
+	if partial {
+		speeds, unknown = t.speeds, t.unknown
+	}
+	for _, r := range running {
+		speed, known := t.speeds[r.RunRef]
+		_, guessed := t.unknown[r.RunRef]
+		switch {
+		case !known && !t.listed:
+			speed, guessed = 0, true
+		case !known:
+			speed = fullSpeedPercent
+		}
+		speeds[r.RunRef] = speed
+		if guessed {
+			unknown[r.RunRef] = struct{}{}
 		}
 	}
-	t.targetMillis = targetMillis
 	t.speeds = speeds
-	t.interference = interference
+	t.unknown = unknown
+	t.listed = t.listed || !partial
 }
 
 // measure records the measurements of the last half second.
@@ -107,7 +139,7 @@
 // interference are cut; after pauseAllAfter all runs are paused. While all
 // latency-critical runs are well below their targets, all limits are raised.
 func (t *throttler) decide(now time.Time, running []framer.RunStatus) []speedChange {
-	if len(t.speeds) == 0 || !t.measured || now.Before(t.nextAdjustAt) {
+	if len(t.interference) == 0 || !t.measured || now.Before(t.nextAdjustAt) {
 		return nil
 	}
 	gradual := t.overTargetSince.IsZero() || now.Sub(t.overTargetSince) < pauseAllAfter
@@ -118,22 +150,16 @@
 	raise := t.raiseShare(running)
 	var changes []speedChange
 	for _, r := range running {
-		speed, ok := t.speeds[r.RunRef]
-		if !ok {
+		if _, ok := t.interference[r.RunRef]; !ok {
 			continue
 		}
-		next := t.nextSpeed(speed, raise, t.currentInterference(r.RunRef) >= maxInterference/2)
+		next, ok := t.nextSpeed(t.speeds[r.RunRef], raise, t.currentInterference(r.RunRef) >= maxInterference/2)
 		if !gradual {
-			next = 0
+			next, ok = 0, true
 		}
-		if next == speed {
-			continue
+		if ok {
+			changes = t.change(changes, r.RunRef, next)
 		}
-		t.speeds[r.RunRef] = next
-		changes = append(changes, speedChange{
-			ref:     r.RunRef,
-			percent: next,
-		})
 	}
 	if len(changes) > 0 {
 		t.nextAdjustAt = now.Add(adjustInterval)
@@ -141,6 +167,45 @@
 	return changes
 }
 
+// lists reports whether a run is listed.
+func (t *throttler) lists(ref framer.RunRef) bool {
+	_, ok := t.speeds[ref]
+	return ok
+}
+
+// release returns the limits to lift since no latency-critical run is listed. The limits
+// of runs that are being stopped stay.
+func (t *throttler) release(running []framer.RunStatus, isStopping func(framer.RunRef) bool) []speedChange {
+	if !t.informed || t.partial && len(t.targetMillis) > 0 {
+		return nil
+	}
+	if slices.ContainsFunc(running, func(r framer.RunStatus) bool { return t.targetMillis[r.RunRef] > 0 }) {
+		return nil
+	}
+	var changes []speedChange
+	for _, r := range running {
+		if !isStopping(r.RunRef) {
+			changes = t.change(changes, r.RunRef, fullSpeedPercent)
+		}
+	}
+	return changes
+}
+
+// change sets the speed limit of a run and appends the change unless the run is known to
+// have that limit.
+func (t *throttler) change(changes []speedChange, ref framer.RunRef, percent int) []speedChange {
+	_, unknown := t.unknown[ref]
+	if percent == t.speeds[ref] && !unknown {
+		return changes
+	}
+	t.speeds[ref] = percent
+	delete(t.unknown, ref)
+	return append(changes, speedChange{
+		ref:     ref,
+		percent: percent,
+	})
+}
+
 // currentInterference returns how much a run slows the latency-critical runs at
 // its present speed limit.
 func (t *throttler) currentInterference(ref framer.RunRef) float64 {
@@ -162,14 +227,16 @@
 	return max(0, room/added)
 }
 
-func (t *throttler) nextSpeed(speed int, raise float64, interferesMost bool) int {
+// nextSpeed returns the next speed limit of a run; ok is false if the limit stays as it
+// is.
+func (t *throttler) nextSpeed(speed int, raise float64, interferesMost bool) (next int, ok bool) {
 	switch {
 	case t.worstShare > 1 && interferesMost:
-		return speed / speedCutDivisor
+		return speed / speedCutDivisor, true
 	case t.worstShare < raiseBelowShare:
 		step := int(raise * float64(fullSpeedPercent-speed))
-		return min(fullSpeedPercent, speed+max(speedStepPercent, step))
+		return min(fullSpeedPercent, speed+max(speedStepPercent, step)), true
 	default:
-		return speed
+		return speed, false
 	}
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -196,5 +196,9 @@
 guard held-starts-follow pkg/scheduler/report.go 's/if s.startsHeld \{/if false {/' pkg/scheduler TestSyncOfManyLargeStartsFitsIntoFrame
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
+guard paused-runs-get-full-speed pkg/supervisor/speed_calls.go '/c.throttler.release\(/d' pkg/supervisor TestPausedRunsGetFullSpeedOnceNothingNeedsTheirPause
+guard limits-of-earlier-agent-are-unknown pkg/supervisor/throttler.go 's/case !known \&\& !t.listed:/case false:/' pkg/supervisor TestNewAgentSetsTheSpeedLimitsOfEarlierRuns
+guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
+guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
