scheduler: a crash that another start explained counts once that is refuted

callers saw: a task that ends its runner 0.6 s after each start, among many short tasks, was started 3 or 4 times after the third crash, and took along up to 7 other runs each time. cause: a crash that the start of another task explains counted for nothing, for good, although those tasks survived their starts seconds later. ruled out: crashes that are known late (each was recorded before the next run was placed). Once their tasks have survived a start, it counts against those that had survived theirs, unless they outlive their former runs by 1 s.

--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -26,6 +26,7 @@
 	}
 	switch e.Reason {
 	case framer.FinishDone:
+		c.refuteExplanations(now, t)
 		c.runDone(now, s, t)
 	case framer.FinishFailed:
 		c.runFailed(now, s, t)
