experimenter: delayed calls wait for an incarnation that its agent knows

cause: a delayed call that a later incarnation of a runner executes before the agent has had an answer of that incarnation cannot be prevented and is left out of the simulation (docs/PLATFORM.md).

--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -238,9 +238,19 @@
 	if a.runner.Key == sentTo {
 		return true
 	}
+	if len(sim.processes.kinds) > 0 && !a.knows(a.runner.Key) {
+		return false
+	}
 	return sim.Now().Sub(a.firstHeartbeatAt) > time.Second && !a.runnerUnreachable && (a.incarnation == incarnation || sim.owners == owners)
 }
 
+// knows reports whether the agent has had an answer of an incarnation. Responses that are
+// lost or wait for a stopped process delay that for longer than 1 s.
+func (a *stepsAgent) knows(key framer.RunnerKey) bool {
+	known, ok := a.core.Runner()
+	return ok && known.Key == key
+}
+
 func (sim *stepsSimulation) perform(a *stepsAgent, action supervisor.Action) {
 	switch {
 	case action.Report != nil:
