experimenter: a runner's timers fire as it continues

The runner had been stopped since before its lease was over, and its runs end when it notices. ruled out: the owner gave the runs up 6.2 and 6.5 s after the stop, and after the lease by the runner's clock was over. change: the timers fire as the process continues, and again after their delay.

--- a/pkg/experimenter/steps_stopped_test.go
+++ b/pkg/experimenter/steps_stopped_test.go
@@ -158,6 +158,13 @@
 	sim.logf("simulation: the process of %v continues, %d calls wait, its lease expired %v", a.runner.Key, len(a.runnerInbox.messages), a.runner.Expired(sim.Now()))
 	delay := time.Duration(1+sim.stopRnd.IntN(max(1, sim.processes.timerDelay))) * time.Millisecond
 	a.runner.Thaw(sim.Now(), delay, sim.stopRnd.IntN(2) == 0)
+	sim.advanceRunner(a)
+	r := a.runner
+	sim.After(delay, func() {
+		if a.runner == r {
+			sim.advanceRunner(a)
+		}
+	})
 	for _, m := range a.runnerInbox.take(sim.stopRnd) {
 		if sim.stopRnd.IntN(4) == 0 {
 			sim.advanceRunner(a)
