--- a/pkg/experimenter/steps_crashing_test.go
+++ b/pkg/experimenter/steps_crashing_test.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// crashDelay is how long after its start a crashing task crashes its runner, and
-	// lateCrashDelay the same for one that has survived its start by then.
-	crashDelay     = 10 * time.Millisecond
-	lateCrashDelay = 600 * time.Millisecond
+	// crashDelay is how long after its start a crashing task crashes its runner.
+	crashDelay = 10 * time.Millisecond
 	// downtimeSpread bounds by how much a crashed runner is away for longer than its
 	// shortest downtime.
 	downtimeSpread = 500 * time.Millisecond
@@ -39,8 +37,6 @@
 	// crashing reports whether a task crashes each runner that starts it; nil if
 	// none does.
 	crashing func(task string) bool
-	// delay is how long after its start a crashing task crashes its runner.
-	delay time.Duration
 	// downtime is the shortest time for which a crashed runner is away.
 	downtime time.Duration
 	// under counts the crashes of runners under each task, and startsAfter the
@@ -63,7 +59,7 @@
 			sim.fatalf(ref.Task, "%s starts for the third time after %d runners crashed under it", ref.Task, toleratedCrashes)
 		}
 	}
-	sim.After(sim.crashes.delay, func() {
+	sim.After(crashDelay, func() {
 		if a.runner == r && sim.runningOn[ref.Task] == r {
 			sim.crashRunner(a)
 		}
@@ -122,27 +118,6 @@
 	}
 }
 
-// TestTasksThatCrashRunnersLateAreGivenUp guards against crashes that count for nothing
-// since other runs began beside the task that causes them.
-func TestTasksThatCrashRunnersLateAreGivenUp(t *testing.T) {
-	for _, seed := range seeds(8) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			sim := newCrashSimulation(t, seed)
-			sim.crashes.delay = lateCrashDelay
-			sim.crashes.crashing = func(task string) bool { return jobNumber(task)%24 == 3 && lastTaskOfFirstStep(sim, task) }
-			soundRunTime := sim.runTime
-			sim.runTime = func(a *stepsAgent, ref framer.RunRef) (time.Duration, framer.FinishReason) {
-				if sim.crashes.crashing(ref.Task) {
-					return 2 * lateCrashDelay, framer.FinishDone
-				}
-				return soundRunTime(a, ref)
-			}
-			sim.playCrashes(func() {})
-			assert.Assert(t, sim.crashes.total > 20)
-		})
-	}
-}
-
 // TestSoundTasksSurviveCrashesOfTheirRunners guards against sound tasks given up
 // because their runners crash again and again for other reasons.
 func TestSoundTasksSurviveCrashesOfTheirRunners(t *testing.T) {
@@ -165,7 +140,6 @@
 	for _, a := range sim.agents {
 		a.info.Address = a.name
 	}
-	sim.crashes.delay = crashDelay
 	sim.crashes.downtime = 3 * time.Second
 	sim.runTime = func(*stepsAgent, framer.RunRef) (time.Duration, framer.FinishReason) {
 		return time.Duration(200+sim.rnd.IntN(2000)) * time.Millisecond, framer.FinishDone
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -281,7 +281,6 @@
 	c.cfg.LogEvent("job ended", "job", j.spec.ID, "state", state)
 	c.markChanged(j)
 	for _, t := range j.tasks() {
-		c.dropExplained(t)
 		c.stop(t)
 	}
 }
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -33,7 +33,7 @@
 	service := c.index.service(c.service(w.job))
 	// A runner may be reserved for a suspect that the other tasks of its step cannot
 	// use.
-	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.suspect() {
+	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() {
 		return c.chooseImproved(now, service, change, w, t)
 	}
 	order := service.orderFor(t.spec())
@@ -194,7 +194,7 @@
 	r := rating{
 		penalty: penaltyOf(now, s, t, gang),
 	}
-	if t.suspect() {
+	if t.record.suspect() {
 		r.exposure = s.exposureTo(now, t)
 	}
 	if step := t.spec(); step.TargetMillis > 0 {
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -34,14 +34,13 @@
 		return
 	}
 	n := s.suspects()
-	e := s.newCrashEvent()
 	c.Counts.Crashes++
 	c.cfg.LogEvent("runner crashed", "runner", s.key.ID, "born-millis", s.key.StartedAtMillis, "runs", len(runs),
 		"unproven", n.unproven, "explaining", n.explaining, "known", s.reported)
 	var next *task
 	for _, t := range runs {
-		c.attributeCrash(now, t, n, e)
-		if t.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
+		c.attributeCrash(now, t, n)
+		if t.record.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
 			next = t
 		}
 	}
@@ -61,11 +60,10 @@
 // to live: it may be back too late for the crash to be counted before the next start.
 func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
 	n := s.suspects()
-	e := s.newCrashEvent()
 	for _, t := range lost {
 		if t.startSent && t.crashedRun != t.run {
 			before := t.record
-			c.attributeCrash(now, t, n, e)
+			c.attributeCrash(now, t, n)
 			s.lapses = append(s.lapses, lapse{
 				task: t,
 				added: crashRecord{
@@ -123,25 +121,15 @@
 	return n
 }
 
-// attributeCrash counts the crash of its runner against a task. A run that has survived its
-// start is no cause of a crash that another start explains.
-func (c *Cell) attributeCrash(now time.Time, t *task, n suspects, e *crashEvent) {
+// attributeCrash counts the crash of its runner against a task, and gives the task up if
+// its record is conclusive. A run that has survived its start is no cause of a crash that
+// another start explains.
+func (c *Cell) attributeCrash(now time.Time, t *task, n suspects) {
+	s := t.runner
 	t.crashedRun = t.run
-	t.recordCrashAge()
-	if t.runner.reported && t.survivedStart() && n.explaining > 0 {
-		e.survive(t)
-	} else {
-		c.countCrash(now, t, n, e)
-	}
-	c.judge(now, t)
-	if t.storedRecord().conclusive() {
-		t.notBefore = now.Add(explanationWait)
+	if s.reported && t.survivedStart() && n.explaining > 0 {
+		return
 	}
-}
-
-// countCrash counts a crash against a task that may have caused it as well as any other.
-func (c *Cell) countCrash(now time.Time, t *task, n suspects, e *crashEvent) {
-	s := t.runner
 	again := s.info.Address != "" && slices.Contains(t.crashedAt, s.info.Address)
 	if !again {
 		t.crashedAt = append(t.crashedAt, s.info.Address)
@@ -150,7 +138,7 @@
 	case !s.reported || !t.mayCrashByStart():
 	case again || !t.explainsCrash():
 		t.record.suspicion += doubtfulSuspicion
-	case n.unproven == 1 && t.record.suspect() && !t.crashesWithSame(e):
+	case n.unproven == 1 && t.record.suspect():
 		t.record.suspicion += soleSuspicion
 	default:
 		t.record.suspicion += sharedSuspicion
@@ -159,23 +147,12 @@
 	if t.record.suspect() && len(s.tasks) > 1 {
 		t.notBefore = now.Add(suspectDelay)
 	}
-}
-
-// judge gives a task up if its record is conclusive.
-func (c *Cell) judge(now time.Time, t *task) {
-	if t.job.state.Final() {
-		return
-	}
 	c.markChanged(t.job)
-	if !t.record.conclusive() {
+	if !t.record.conclusive() || t.job.state.Final() {
 		return
 	}
-	runner := ""
-	if t.runner != nil {
-		runner = t.runner.key.ID
-	}
 	c.Counts.GivenUp++
-	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "runner", runner,
-		"crashes", t.record.crashes, "explained", t.record.explained, "suspicion", t.record.suspicion)
+	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "runner", s.key.ID,
+		"crashes", t.record.crashes, "suspicion", t.record.suspicion)
 	c.endJob(now, t.job, StateFailed)
 }
--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -4,8 +4,7 @@
 
 const (
 	// maxCrashes is the number of crashes of runners under a task, without a run that
-	// proves it sound, at which it is given up, whatever the evidence. Those that other
-	// starts explained are included once these were refuted.
+	// proves it sound, at which it is given up, whatever the evidence.
 	maxCrashes = 5
 	// maxSuspicion is the suspicion at which a task is given up. A crash right after
 	// its start adds sharedSuspicion, soleSuspicion if no other start can have caused
@@ -23,10 +22,8 @@
 
 // crashRecord is what speaks for that a task crashes its runners.
 type crashRecord struct {
-	// crashes counts the runners that crashed under the task, and explained those that
-	// the start of another task explained until that was refuted.
-	crashes   int
-	explained int
+	// crashes counts the runners that crashed under the task.
+	crashes int
 	// suspicion is the evidence that its start crashes them; a run that survives its
 	// start refutes it.
 	suspicion int
@@ -39,16 +36,13 @@
 
 // conclusive reports whether enough speaks for that the task crashes its runners.
 func (r crashRecord) conclusive() bool {
-	return r.suspicion >= maxSuspicion || r.crashes+r.explained >= maxCrashes
+	return r.suspicion >= maxSuspicion || r.crashes >= maxCrashes
 }
 
 // clearRecord drops what the present run of a task refutes: that its start crashes
-// runners once it has survived that, that it caused crashes which other starts explain once
-// it is older than at any of them, and everything once it has been at work for long.
+// runners once it has survived that, and everything once a long-running task has
+// been at work for long.
 func (c *Cell) clearRecord(now time.Time, t *task) {
-	if t.survivedStart() {
-		c.refuteExplanations(now, t)
-	}
 	before := t.record
 	if before == (crashRecord{}) {
 		return
@@ -56,10 +50,7 @@
 	if t.survivedStart() {
 		t.record.suspicion = 0
 	}
-	if t.outlivesCrashes() {
-		t.record.explained = 0
-	}
-	if t.provesTask(now) {
+	if t.provesRunner(now) {
 		t.record = crashRecord{}
 	}
 	if t.record != before {
@@ -71,11 +62,9 @@
 func (p *Progress) recordCrashes(index, tasks int, r crashRecord) {
 	if p.Crashes == nil {
 		p.Crashes = make([]byte, tasks)
-		p.ExplainedCrashes = make([]byte, tasks)
 		p.Suspicions = make([]byte, tasks)
 	}
 	p.Crashes[index] = byte(min(r.crashes, maxCrashes))
-	p.ExplainedCrashes[index] = byte(min(r.explained, maxCrashes))
 	p.Suspicions[index] = byte(min(r.suspicion, maxSuspicion))
 }
 
@@ -85,8 +74,5 @@
 		r.crashes = int(p.Crashes[index])
 		r.suspicion = int(p.Suspicions[index])
 	}
-	if index < len(p.ExplainedCrashes) {
-		r.explained = int(p.ExplainedCrashes[index])
-	}
 	return r
 }
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -28,7 +28,6 @@
 	}
 	switch e.Reason {
 	case framer.FinishDone:
-		c.refuteExplanations(now, t)
 		c.runDone(now, s, t)
 	case framer.FinishFailed:
 		c.runFailed(now, s, t)
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -127,12 +127,10 @@
 	// Begun reports whether any run of the job has reached a runner.
 	Begun bool           `cbor:"begun,omitempty"`
 	Tasks []TaskProgress `cbor:"tasks,omitempty"`
-	// Crashes holds the crashes of runners under each of the tasks, ExplainedCrashes
-	// those that the start of another task explains, and Suspicions the evidence that its
-	// start causes them; all are empty if there are none.
-	Crashes          []byte `cbor:"crashes,omitempty"`
-	ExplainedCrashes []byte `cbor:"explained-crashes,omitempty"`
-	Suspicions       []byte `cbor:"suspicions,omitempty"`
+	// Crashes holds the crashes of runners under each of the tasks, and Suspicions the
+	// evidence that its start causes them; both are empty if there are none.
+	Crashes    []byte `cbor:"crashes,omitempty"`
+	Suspicions []byte `cbor:"suspicions,omitempty"`
 	// EndedAtMillis is when the job reached a final state, in milliseconds
 	// since 1970.
 	EndedAtMillis int64 `cbor:"ended-at-millis,omitempty"`
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -238,7 +238,7 @@
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
 		"free-millis", s.free().ProcessorMillis, "report-age-millis", now.Sub(s.listedAt).Milliseconds(), "queues-version", c.queues.Version)
 	c.bind(s, t)
-	if t.suspect() {
+	if t.record.suspect() {
 		s.beginTrial(now, t)
 	}
 	// The start is granted in the runner's clock as last read. A longer wait
--- a/pkg/scheduler/row_size_test.go
+++ b/pkg/scheduler/row_size_test.go
@@ -64,27 +64,6 @@
 	}
 }
 
-// A row with crash records must not be larger than its bound.
-func TestRowWithCrashRecordsFitsIntoTheStore(t *testing.T) {
-	const tasks = 5000
-	p := Progress{
-		State: StateRunning,
-	}
-	for i := range tasks {
-		p.Tasks = append(p.Tasks, TaskProgress{
-			Run:      255,
-			Failures: 23,
-		})
-		p.recordCrashes(i, tasks, crashRecord{
-			crashes:   maxCrashes,
-			explained: maxCrashes,
-			suspicion: maxSuspicion,
-		})
-	}
-	size := encodedSize(t, p)
-	assert.Assert(t, size <= p.size(), "%d bytes are more than the bound %d", size, p.size())
-}
-
 // A job whose progress can never be stored must be refused when it is submitted.
 func TestJobWithTooManyTasksIsRefused(t *testing.T) {
 	plain, checkpoints, gang := newStep(5000, 10), newStep(1500, 10), newStep(800, 10)
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -69,12 +69,6 @@
 	// last run that was counted in it.
 	record     crashRecord
 	crashedRun int
-	// explains lists the crashes that a start of the task explains, and unexplained
-	// counts those that other starts explain so far. crashAge is how old the task's oldest
-	// run was at the crash of its runner. All are as far as this owner knows.
-	explains    []*crashEvent
-	unexplained int
-	crashAge    time.Duration
 	// crashedAt lists the addresses of the runners that crashed under the task, as far
 	// as this owner knows.
 	crashedAt []string
@@ -253,8 +247,8 @@
 	}
 	tasks := j.tasks()
 	for i, t := range tasks {
-		if r := t.storedRecord(); r != (crashRecord{}) {
-			p.recordCrashes(i, len(tasks), r)
+		if t.record != (crashRecord{}) {
+			p.recordCrashes(i, len(tasks), t.record)
 		}
 		row := TaskProgress{
 			Done:       t.done,
--- a/pkg/scheduler/trial.go
+++ b/pkg/scheduler/trial.go
@@ -13,8 +13,6 @@
 	// maxTrial is how long a runner that starts a suspect gets no other task, unless
 	// the suspect survives its start before that.
 	maxTrial = time.Second
-	// maxLastTrial is the same for a task that is given up after another crash.
-	maxLastTrial = 3 * time.Second
 )
 
 // reserveRunner keeps other tasks off the runner whose crash would cost least, so
@@ -55,7 +53,7 @@
 	}
 	t.trialRunner = s
 	s.trial = t
-	s.trialUntil = now.Add(t.trialDuration())
+	s.trialUntil = now.Add(maxTrial)
 }
 
 // onTrial reports whether the runner is kept free for the trial of a suspect.
@@ -64,7 +62,7 @@
 	if t == nil || !now.Before(s.trialUntil) || t.done || t.job.state.Final() {
 		return false
 	}
-	return t.runner == nil || !t.passesTrial()
+	return t.runner == nil || !t.survivedStart()
 }
 
 // exposure is what a crash of a runner would cost beside the task that causes it;
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -159,7 +159,7 @@
 guard images-are-kept-apart pkg/scheduler/choosing.go 's/cmp.Compare\(r.rejections, other.rejections\),//' pkg/scheduler TestLatencyCriticalJobsFillFleet
 guard best-effort-stays-below-targets pkg/scheduler/interference.go 's/return false/continue/' pkg/scheduler TestBestEffortPlacementKeepsTargets
 guard crashes-are-counted pkg/scheduler/lost_runner.go 's/^\t+c.recordCrash\(now, old\)//' pkg/scheduler TestTaskThatCrashesRunnersIsGivenUp
-guard crash-record-is-stored pkg/scheduler/task.go 's/if r := t.storedRecord\(\); r != \(crashRecord\{\}\)/if r := t.storedRecord(); false/' pkg/scheduler TestCrashRecordSurvivesItsOwner
+guard crash-record-is-stored pkg/scheduler/task.go 's/if t.record != \(crashRecord\{\}\)/if false/' pkg/scheduler TestCrashRecordSurvivesItsOwner
 guard survived-start-refutes-suspicion pkg/scheduler/crash_record.go 's/t.record.suspicion = 0//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard silence-explains-no-crash pkg/scheduler/crash.go 's/ \&\& goneAt.Sub\(t.startSentAt\) <= maxCrashDelay//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard explained-crash-blames-no-other pkg/scheduler/crash.go 's/ \&\& n.explaining > 0 \{/ \&\& false {/' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
@@ -224,14 +224,5 @@
 guard limits-of-earlier-agent-are-unknown pkg/supervisor/throttler.go 's/case !known \&\& !t.listed:/case false:/' pkg/supervisor TestNewAgentSetsTheSpeedLimitsOfEarlierRuns
 guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
-guard explained-crashes-are-counted pkg/scheduler/crash_event.go 's/other.record.explained\+\+//' pkg/scheduler TestTaskThatCrashesRunnersLateIsGivenUp
-guard late-crashes-are-counted pkg/scheduler/crash_event.go 's/other.record.explained\+\+//' $simulation TestTasksThatCrashRunnersLateAreGivenUp
-guard unexplained-crash-delays-the-start pkg/scheduler/crash.go 's/t.notBefore = now.Add\(explanationWait\)//' pkg/scheduler TestTaskThatCrashesRunnersLateIsGivenUp
-guard last-trial-lasts-longer pkg/scheduler/crash_event.go 's/return t.outlivesCrashes\(\)/return t.survivedStart()/' pkg/scheduler TestLastTrialOfTaskThatCrashesRunnersLate
-guard explained-crashes-are-stored pkg/scheduler/crash_record.go '/p.ExplainedCrashes\[index\] = /d' pkg/scheduler TestExplainedCrash
-guard known-culprit-relieves-others pkg/scheduler/cell.go '/c.dropExplained\(t\)/d' pkg/scheduler TestExplainedCrash
-guard longer-work-relieves-task pkg/scheduler/crash_record.go 's/if t.outlivesCrashes\(\) \{/if false {/' pkg/scheduler TestExplainedCrash
-guard two-that-crash-together-are-not-told-apart pkg/scheduler/crash.go 's/ \&\& !t.crashesWithSame\(e\)//' pkg/scheduler TestTwoTasksThatCrashTogetherAreNotToldApart
-guard late-crash-is-not-outlived-by-less pkg/scheduler/crash_event.go 's/crashAgeFactor\*t/0*t/' pkg/scheduler TestLongRunningTaskThatCrashesRunners
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
