scheduler: the guard due-proof-is-remembered holds again

Its case lists no end now: one that is listed needs the proof by itself since the review, so the case passed without the memory.

--- a/pkg/scheduler/expiry_test.go
+++ b/pkg/scheduler/expiry_test.go
@@ -87,12 +87,13 @@
 		h.readClock("x", 60_000)
 		assertWithheld(t, h, "x")
 	})
-	t.Run("the proof is due as long as the runner may come back", func(t *testing.T) {
+	t.Run("the proof is due as long as the runner may come back, whatever it lists", func(t *testing.T) {
 		h := loseByLease(t)
 		silent := h.runners["x"]
 		delete(h.runners, "x")
 		h.cell.AgentDisconnected("x")
 		h.advance(4 * maxCallDelay)
+		silent.Finished = nil
 		h.runners["x"] = silent
 		h.report("x")
 		assertWithheld(t, h, "x")
