scheduler: a failure domain that was ordered drained gets no starts

Operators order a failure domain drained by the row evacuate/DOMAIN of the operator table; nothing read it. Every entry now keeps the orders from its watch (a complete reread drops those whose rows are gone), and the cell places nothing on the runners of such a domain, withdraws starts that the agent has not accepted, and does not count the capacity there as idle.

--- a/pkg/commander/fleet.go
+++ b/pkg/commander/fleet.go
@@ -60,6 +60,7 @@
 		ThroughPeer:   peers.ThroughPeer,
 		OperatorTable: platform.OperatorTable,
 		DecodeQueues:  platform.DecodeQueues,
+		DecodeOrder:   platform.DecodeOrder,
 		Incarnation:   newIncarnation(),
 	})
 	expvar.Publish("entry", expvar.Func(func() any { return entry.Metrics() }))
--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -35,6 +35,11 @@
 	// limits the leases of runners; with short ones, runs end in an outage that
 	// is longer.
 	RestartWithin publisher.Duration `toml:"restart-within"`
+	// DrainWithin is the time from the confirmation of an operator's order to drain
+	// a failure domain until no task may start there: 0s, which sets no bound, or 3s
+	// to 1h. Orders are obeyed in any case. With a bound, an entry that cannot read
+	// the orders starts nothing.
+	DrainWithin publisher.Duration `toml:"drain-within"`
 	// Grace is the maximum time that a process may take to shut down.
 	Grace publisher.Duration `toml:"grace"`
 	// Callers is the IP number and port for callers' requests; entries only.
@@ -81,6 +86,7 @@
 
 func (f *Fleet) check() error {
 	const minDuration, maxDuration = int64(time.Second), int64(time.Hour)
+	const minDrain = int64(3 * time.Second)
 	const minRestart = int64(6 * time.Second)
 	const maxProcessors = 1 << 10
 	checks := []error{
@@ -90,6 +96,7 @@
 		publisher.CheckRange("processors", int64(math.Ceil(f.Processors)), 0, maxProcessors),
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
 		publisher.CheckRange("restart-within", int64(f.RestartWithin), minRestart, maxDuration),
+		checkDrainWithin(f.DrainWithin, minDrain, maxDuration),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
 		checkOptionalAddress("callers", f.Callers),
 		checkOptionalAddress("readiness", f.Readiness),
@@ -104,6 +111,13 @@
 	return nil
 }
 
+func checkDrainWithin(d publisher.Duration, least, most int64) error {
+	if d == 0 {
+		return nil
+	}
+	return publisher.CheckRange("drain-within", int64(d), least, most)
+}
+
 // CheckEntry validates the settings that only an entry requires.
 func (f *Fleet) CheckEntry() error {
 	if err := checkAddress("callers", f.Callers); err != nil {
--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
 	"github.com/bilberrywalk/bilberrywalk/pkg/clocker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/drainer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
@@ -55,8 +56,11 @@
 	// DecodeQueues decodes one of them; it returns nil for a row without
 	// queues.
 	OperatorTable string
-	DecodeQueues  func(row storer.PartitionedRow) (*scheduler.Queues, error)
-	Incarnation   uint64
+	// DecodeOrder decodes an order to drain a failure domain, and reports whether
+	// the row is one; a deleted row withdraws the order.
+	DecodeQueues func(row storer.PartitionedRow) (*scheduler.Queues, error)
+	DecodeOrder  func(row storer.PartitionedRow) (drainer.Order, bool)
+	Incarnation  uint64
 }
 
 // Entry is the process that accepts callers' requests.
@@ -95,6 +99,9 @@
 	cache  *jobCache
 	owner  owner
 	queues *scheduler.Queues
+	// orders are the orders to drain failure domains, complete as of ordersReadAt.
+	orders       drainer.Orders
+	ordersReadAt time.Time
 	// leaseRead is set once the cell's partition was read from the store.
 	leaseRead bool
 	agents    map[string]*agentLink
@@ -222,18 +229,33 @@
 	watch := func(table string, partitions []string, delay func() time.Duration, apply func(now time.Time, rows []storer.PartitionedRow)) *tableWatcher {
 		return &tableWatcher{
 			log:        e.log,
+			now:        e.clock.Now,
+			timeout:    watchTimeout,
 			store:      e.store,
 			table:      table,
 			partitions: partitions,
 			delay:      delay,
-			apply: func(rows []storer.PartitionedRow) {
+			apply: func(rows []storer.PartitionedRow, _ bool) {
 				e.loop.Post(func(now time.Time) { apply(now, rows) })
 			},
 			onContact: e.recordStoreContact,
 		}
 	}
+	operators := watch(e.deps.OperatorTable, []string{""}, delay, e.queuesChanged)
+	if e.cfg.DrainWithin > 0 {
+		operators.timeout = orderWatchTimeout
+	}
+	operators.apply = func(rows []storer.PartitionedRow, whole bool) {
+		e.loop.Post(func(now time.Time) {
+			e.queuesChanged(now, rows)
+			e.ordersChanged(now, rows, whole)
+		})
+	}
+	operators.readAsOf = func(at time.Time) {
+		e.loop.Post(func(time.Time) { e.ordersRead(at) })
+	}
 	return []*tableWatcher{
-		watch(e.deps.OperatorTable, []string{""}, delay, e.queuesChanged),
+		operators,
 		watch(jobTable, allJobPartitions(), delay, e.jobsChanged),
 		watch(cellTable, []string{cellPartition}, func() time.Duration { return standbyWatchDelay }, e.cellChanged),
 		watch(storer.MemberTable, []string{""}, delay, e.membersChanged),
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -90,6 +90,8 @@
 	}
 	o.cell = scheduler.NewCell(e.cellConfig())
 	o.cell.SetQueues(e.queues)
+	o.cell.OrdersRead(e.ordersReadAt)
+	o.cell.SetOrders(now, e.orders.List())
 	e.loadModels(rows.cell)
 	for id := range e.cache.jobs {
 		e.activate(now, id)
@@ -111,6 +113,7 @@
 		LongestLease:    time.Duration(e.cfg.LongestLease),
 		FormerLeasesEnd: o.formerLeasesEnd,
 		DelayedLeases:   maps.Clone(o.delayedLeases),
+		DrainWithin:     time.Duration(e.cfg.DrainWithin),
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/controller/table_watcher.go
+++ b/pkg/controller/table_watcher.go
@@ -13,7 +13,10 @@
 const (
 	// watchTimeout is how long the store may delay the reply to a watch
 	// request. It is short, so that a connection that went silent is noticed.
-	watchTimeout = time.Second
+	// orderWatchTimeout is the same for the operator table where orders to drain
+	// have a bound: each reply shows that there is no newer order.
+	watchTimeout      = time.Second
+	orderWatchTimeout = 400 * time.Millisecond
 	// watchRetryDelay is the delay after a request that failed.
 	watchRetryDelay = 200 * time.Millisecond
 )
@@ -21,14 +24,21 @@
 // tableWatcher reads one table and then watches it for changes.
 type tableWatcher struct {
 	log        hclog.Logger
+	now        func() time.Time
 	store      storer.RowStore
 	table      string
 	partitions []string
 	// delay returns how long to wait after a reply with changes before the next
 	// watch request. It is called each time, since the delay may change.
 	delay func() time.Duration
-	// apply receives changed rows in order, on the goroutine of run.
-	apply func(rows []storer.PartitionedRow)
+	// timeout is how long the store may delay the reply to a watch request.
+	timeout time.Duration
+	// apply receives rows in order, on the goroutine of run: changed ones, or the
+	// whole table if whole is set. Rows that the table lacks then are gone.
+	apply func(rows []storer.PartitionedRow, whole bool)
+	// readAsOf, which may be nil, is called once apply has received all changes up
+	// to a time.
+	readAsOf func(at time.Time)
 	// onContact is called after each request with whether it succeeded, except
 	// after a watch whose position was compacted.
 	onContact func(ok bool)
@@ -48,7 +58,8 @@
 			}
 			after, read = version, true
 		}
-		page, err := w.store.Watch(ctx, w.table, after, watchTimeout)
+		sentAt := w.now()
+		page, err := w.store.Watch(ctx, w.table, after, w.timeout)
 		var compacted *storer.CompactedError
 		if errors.As(err, &compacted) {
 			w.log.Info("rereading table: watch position compacted", "table", w.table, "cause", err)
@@ -62,7 +73,10 @@
 		}
 		after = max(after, page.Version)
 		if len(page.Rows) > 0 {
-			w.apply(page.Rows)
+			w.apply(page.Rows, false)
+		}
+		w.recordReading(watchedUntil(sentAt, w.now(), w.timeout, len(page.Rows) > 0))
+		if len(page.Rows) > 0 {
 			sleep(ctx, w.delay())
 		}
 	}
@@ -83,14 +97,32 @@
 
 // readAll reads the table and returns the version to watch from.
 func (w *tableWatcher) readAll(ctx context.Context) (uint64, error) {
+	sentAt := w.now()
 	page, err := w.store.ScanPartitions(ctx, w.table, w.partitions)
 	if err != nil {
 		return 0, err
 	}
-	w.apply(page.Rows)
+	w.apply(page.Rows, true)
+	w.recordReading(sentAt)
 	return page.Version, nil
 }
 
+// recordReading reports that all changes up to a time were read.
+func (w *tableWatcher) recordReading(at time.Time) {
+	if w.readAsOf != nil {
+		w.readAsOf(at)
+	}
+}
+
+// watchedUntil returns up to when the reply to a watch request shows all changes. One
+// without a change was delayed until the timeout.
+func watchedUntil(sentAt, repliedAt time.Time, timeout time.Duration, changed bool) time.Time {
+	if !changed && repliedAt.Sub(sentAt) >= timeout {
+		return sentAt.Add(timeout)
+	}
+	return sentAt
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -52,7 +52,10 @@
 	// committed to the store.
 	AckedSequence int64      `cbor:"ends-seen"`
 	Starts        []RunStart `cbor:"starts,omitempty"`
-	Stops         []RunRef   `cbor:"stops,omitempty"`
+	// StartsUntilMillis is until when the starts may be carried out, in milliseconds
+	// of the runner's own clock; 0 sets no bound.
+	StartsUntilMillis int64    `cbor:"starts-until-millis,omitempty"`
+	Stops             []RunRef `cbor:"stops,omitempty"`
 	// Sharing lists the latency-critical and best-effort runs if the runner
 	// has both.
 	Sharing []Sharing `cbor:"sharing,omitempty"`
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
+	"github.com/bilberrywalk/bilberrywalk/pkg/drainer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
@@ -36,6 +37,9 @@
 	// DelayedLeases holds when the last lease expires that a delayed call can
 	// have granted a runner before the cell was acquired, by the runner's id.
 	DelayedLeases map[string]time.Time
+	// DrainWithin is the time from the confirmation of an order to drain a failure
+	// domain until no task may start there; zero sets no bound.
+	DrainWithin time.Duration
 	// LogEvent logs a scheduling decision as a constant message with key/value
 	// pairs. It may be nil.
 	LogEvent func(message string, pairs ...any)
@@ -75,6 +79,10 @@
 	interference *interference
 	rejections   *rejections
 	waits        *waitMonitor
+	// domains has the state of the failure domains. The orders are complete as of
+	// ordersReadAt.
+	domains      *drainer.Drainer
+	ordersReadAt time.Time
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -125,6 +133,9 @@
 		interference: models,
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
+		domains: drainer.New(drainer.Config{
+			LogEvent: cfg.LogEvent,
+		}),
 		placementDue: true,
 	}
 }
@@ -357,9 +368,10 @@
 		c.expiryCheckedAt = now
 		c.expireLeases(now)
 		c.watchWaits(now)
+		c.watchDomains(now)
 		c.retryRejected(now)
 	}
-	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
+	if mayPlace && c.ordersKnown(now) && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
 		c.placedAt = now
 		c.place(now)
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -19,6 +19,8 @@
 	refusedUnanswered
 	refusedNoListing
 	refusedDraining
+	// refusedDomain: the runner's failure domain was ordered drained.
+	refusedDomain
 	// refusedNoLease: the runner is granted no lease until the last one is proven to have
 	// expired.
 	refusedNoLease
@@ -58,6 +60,7 @@
 	refusedUnanswered:     "unanswered",
 	refusedNoListing:      "no-listing",
 	refusedDraining:       "draining",
+	refusedDomain:         "domain-draining",
 	refusedNoLease:        "no-lease",
 	refusedBackoff:        "backing-off",
 	refusedQuarantined:    "quarantined",
@@ -144,6 +147,8 @@
 		return refusedNoListing
 	case s.info.Draining || s.info.Left:
 		return refusedDraining
+	case s.domainClosed:
+		return refusedDomain
 	case s.expiry.due:
 		return refusedNoLease
 	case s.startRefusals.backingOff(now):
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -83,6 +83,7 @@
 	}
 	s.reported = true
 	s.reportedBy(now, agent)
+	c.updateDomain(s)
 	c.agents[agent] = s
 	if info.Left {
 		s.limitLeases(now.Add(leaveMargin))
--- a/pkg/scheduler/runner_index.go
+++ b/pkg/scheduler/runner_index.go
@@ -31,7 +31,7 @@
 	// improved lists the runners, the one that improved last at the front.
 	improved *list.List
 	// allocatedMillis and capacityMillis are the processors of the runners that
-	// have an agent, in thousandths of one.
+	// have an agent and whose failure domain takes tasks, in thousandths of one.
 	allocatedMillis int64
 	capacityMillis  int64
 }
@@ -164,7 +164,7 @@
 	p.idle = s.idleMillis()
 	p.packed = s.idleMillis() + s.latencyCriticalMillis
 	p.allocatedMillis, p.capacityMillis = 0, 0
-	if s.agent != "" {
+	if s.agent != "" && !s.domainClosed {
 		p.allocatedMillis = s.allocated.ProcessorMillis
 		p.capacityMillis = s.info.ProcessorMillis
 	}
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -30,6 +30,11 @@
 	info framer.RunnerInfo
 	// reported is set once an agent has reported this incarnation.
 	reported bool
+	// domainClosed is set while the runner's failure domain takes no tasks.
+	domainClosed bool
+	// listedSinceLink is set once the runner has made a listing so long after its
+	// agent linked to this owner that it shows all runs of former owners.
+	listedSinceLink bool
 	// agent is the address of the agent that reports the runner, or empty while
 	// there is no link to that agent. The link has been open since linkedAt, and the
 	// last report came at reportedAt.
@@ -232,6 +237,7 @@
 		s.listings++
 	}
 	s.listedAt = maxTime(s.listedAt, at)
+	s.listedSinceLink = s.listedSinceLink || !s.linkedAt.IsZero() && at.Sub(s.linkedAt) > maxCallTime
 	return isNew
 }
 
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -29,8 +29,9 @@
 		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
 	c.withdrawStarts(s)
-	if granting && !s.expiry.due {
+	if granting && !s.expiry.due && !s.domainClosed && c.ordersKnown(now) {
 		sync.Starts = c.starts(now, s)
+		sync.StartsUntilMillis = c.startsUntilMillis(now, s)
 	}
 	for t := range s.tasks {
 		if t.stopping {
@@ -102,13 +103,13 @@
 }
 
 // withdrawStarts withdraws the starts that a runner has not accepted yet if it has become
-// too small for what is placed on it.
+// too small for what is placed on it, or its failure domain takes no tasks.
 func (c *Cell) withdrawStarts(s *runnerState) {
-	if publisher.Within(s.allocated, s.capacity()) {
+	if !s.domainClosed && publisher.Within(s.allocated, s.capacity()) {
 		return
 	}
 	for _, t := range s.placed() {
-		if !t.confirmed && !t.stopping {
+		if !t.confirmed && !t.stopping && (!s.domainClosed || c.mayWithdraw(s, t)) {
 			c.cfg.LogEvent("start withdrawn", "task", t.name(), "run", t.run, "runner", s.key.ID, "free-millis", s.free().ProcessorMillis)
 			c.stop(t)
 		}
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -48,6 +48,9 @@
 	causeNoRunner
 	// causeNoneSchedulable: no runner of the service is schedulable.
 	causeNoneSchedulable
+	// causeDomainDraining: no runner of the service is schedulable, and some only
+	// since their failure domain was ordered drained.
+	causeDomainDraining
 	// causeNoLabel: no schedulable runner has the label.
 	causeNoLabel
 	// causeAntiAffinity: all runners with the label have as many tasks of the
@@ -88,6 +91,7 @@
 	causeGangIncomplete:     "gang-incomplete",
 	causeNoRunner:           "no-runner",
 	causeNoneSchedulable:    "no-schedulable-runner",
+	causeDomainDraining:     "domain-draining",
 	causeNoLabel:            "no-runner-with-label",
 	causeAntiAffinity:       "anti-affinity",
 	causeNoRoom:             "no-room",
@@ -152,6 +156,8 @@
 	switch {
 	case last == 0:
 		return causeNoRunner
+	case last < refusedWithoutLabel && refusals[refusedDomain] > 0:
+		return causeDomainDraining
 	case last < refusedWithoutLabel:
 		return causeNoneSchedulable
 	case last == refusedWithoutLabel:
--- a/pkg/supervisor/commands.go
+++ b/pkg/supervisor/commands.go
@@ -140,7 +140,8 @@
 	leased := c.clockMillis > 0 && c.lease.untilMillis > c.clockMillis
 	answers := c.unansweredRenewals == 0 && now.Sub(c.listedAt) <= listingTTL
 	described := now.Sub(c.heartbeatAt) <= c.heartbeatInterval+maxHeartbeatDelay && cmd.requestedAt.Sub(c.shrunkAt) >= shrinkHold
-	return leased && answers && described && !c.claimedAgain() && !c.replacedUnheard()
+	timely := c.startsUntilMillis == 0 || c.clockByNow(now) < c.startsUntilMillis
+	return leased && answers && described && timely && !c.claimedAgain() && !c.replacedUnheard()
 }
 
 func (c *Core) sendStart(now time.Time, cmd *command) {
@@ -205,7 +206,7 @@
 		cmd.retryAt = now.Add(retryBackoff)
 		return
 	}
-	c.advanceClock(a.ClockMillis)
+	c.advanceClock(now, a.ClockMillis)
 	if cmd.phase != phaseStarting {
 		return
 	}
@@ -241,7 +242,7 @@
 		cmd.retryAt = now.Add(retryBackoff)
 		return
 	}
-	c.advanceClock(a.ClockMillis)
+	c.advanceClock(now, a.ClockMillis)
 	if cmd.phase != phaseStopping {
 		return
 	}
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -132,8 +132,14 @@
 	// replaced is the incarnation that the known one replaced.
 	replaced framer.RunnerKey
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
-	// none yet.
+	// none yet. clockRead and clockReadAt
+	// are the reading from which clockByNow counts.
 	clockMillis int64
+	clockRead   int64
+	clockReadAt time.Time
+	// startsUntilMillis is until when the requested starts may be carried out, by
+	// the runner's clock; 0 sets no bound.
+	startsUntilMillis int64
 	// listedAt is the time of the latest listing of this incarnation of the
 	// runner.
 	listedAt time.Time
@@ -229,6 +235,7 @@
 		return true
 	}
 	c.grantLease(s.LeaseUntilMillis)
+	c.startsUntilMillis = s.StartsUntilMillis
 	if s.AckedSequence > c.ackedSequence {
 		c.ackedSequence = s.AckedSequence
 		c.nextRenewal = now
--- a/pkg/supervisor/heartbeat.go
+++ b/pkg/supervisor/heartbeat.go
@@ -150,6 +150,7 @@
 	c.answeredBy = 0
 	c.leaveNoticed = false
 	c.clockMillis = 0
+	c.startsUntilMillis = 0
 	c.listedAt = time.Time{}
 	c.listedEpoch = 0
 	c.listedClock = 0
--- a/pkg/supervisor/lease.go
+++ b/pkg/supervisor/lease.go
@@ -1,6 +1,10 @@
 package supervisor
 
-import "github.com/bilberrywalk/bilberrywalk/pkg/leaser"
+import (
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
+)
 
 // expiryPollMillis is how long after the end of a lease, by the runner's clock, the runner is
 // listed without a wait, and each reading of its clock reported.
@@ -30,8 +34,12 @@
 	c.adoptLease()
 }
 
-// advanceClock records a reading of the runner's clock.
-func (c *Core) advanceClock(clockMillis int64) {
+// advanceClock records a reading of the runner's clock that arrived now.
+func (c *Core) advanceClock(now time.Time, clockMillis int64) {
+	if c.clockMillis == 0 || clockMillis > c.clockByNow(now) {
+		c.clockRead = clockMillis
+		c.clockReadAt = now
+	}
 	c.clockMillis = max(c.clockMillis, clockMillis)
 	if c.leaseExpired() {
 		if c.lease.expiredMillis == 0 {
@@ -41,6 +49,13 @@
 	}
 }
 
+// clockByNow returns what the runner's clock shows now at least, unless it is slower than it
+// may be. A reading that waited in a socket while the agent's process was stopped shows less,
+// and is not used.
+func (c *Core) clockByNow(now time.Time) int64 {
+	return c.clockRead + now.Sub(c.clockReadAt).Milliseconds()*(100-clockDriftPercent)/100
+}
+
 // leaseExpired reports whether the last lease is over by the runner's own clock.
 func (c *Core) leaseExpired() bool {
 	return c.lease.untilMillis > 0 && c.clockMillis > c.lease.untilMillis
--- a/pkg/supervisor/listing.go
+++ b/pkg/supervisor/listing.go
@@ -143,7 +143,7 @@
 		c.scheduleReport(now)
 	}
 	c.lease.confirmedUntilMillis = max(c.lease.confirmedUntilMillis, call.Header.LeaseUntilMillis)
-	c.advanceClock(l.ClockMillis)
+	c.advanceClock(now, l.ClockMillis)
 	c.deliveredAckSequence = max(c.deliveredAckSequence, call.AckedSequence)
 	hasNew := c.applyListing(l)
 	c.adoptLease()
