scheduler: large tasks start by the time that the runs in progress promise

cause: a task of a whole runner had not started after 60 s of a stream of tasks of an eighth of one that run 2 s (TestLargeTaskAmongStreamOfSmallOnesStartsAsPromised without the part). ruled out: a fixed size as the limit of what is large; it is twice the average run in progress, so a service whose tasks are alike is placed as before. The progress that runs report is not used. change: before each placement, at most every 50 ms, the cell plans reservations for the large tasks that no runner could hold for 0.3 s. mayPlace keeps other tasks off reserved runners unless they end before, fit beside or are more urgent. Meanwhile, other tasks go where they fit most tightly. The setting max-reservations (4) bounds the reservations; 0 turns them off.

--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -35,6 +35,9 @@
 	// limits the leases of runners; with short ones, runs end in an outage that
 	// is longer.
 	RestartWithin publisher.Duration `toml:"restart-within"`
+	// MaxReservations is the largest number of large tasks and gangs for which room
+	// is reserved on runners at a time: 0 to 64. Zero means that none is.
+	MaxReservations int `toml:"max-reservations"`
 	// Grace is the maximum time that a process may take to shut down.
 	Grace publisher.Duration `toml:"grace"`
 	// Callers is the IP number and port for callers' requests; entries only.
@@ -52,10 +55,11 @@
 // FleetDefaults returns the defaults of the settings that a file may omit.
 func FleetDefaults() Fleet {
 	return Fleet{
-		LogLevel:      "info",
-		LongestLease:  publisher.Duration(6 * time.Second),
-		RestartWithin: publisher.Duration(9 * time.Second),
-		Grace:         publisher.Duration(6 * time.Second),
+		LogLevel:        "info",
+		LongestLease:    publisher.Duration(6 * time.Second),
+		RestartWithin:   publisher.Duration(9 * time.Second),
+		MaxReservations: 4,
+		Grace:           publisher.Duration(6 * time.Second),
 	}
 }
 
@@ -83,6 +87,7 @@
 	const minDuration, maxDuration = int64(time.Second), int64(time.Hour)
 	const minRestart = int64(6 * time.Second)
 	const maxProcessors = 1 << 10
+	const maxReservations = 64
 	checks := []error{
 		checkAddress("link", f.Link),
 		checkAddress("store", f.Store),
@@ -90,6 +95,7 @@
 		publisher.CheckRange("processors", int64(math.Ceil(f.Processors)), 0, maxProcessors),
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
 		publisher.CheckRange("restart-within", int64(f.RestartWithin), minRestart, maxDuration),
+		publisher.CheckRange("max-reservations", int64(f.MaxReservations), 0, maxReservations),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
 		checkOptionalAddress("callers", f.Callers),
 		checkOptionalAddress("readiness", f.Readiness),
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -111,6 +111,7 @@
 		LongestLease:    time.Duration(e.cfg.LongestLease),
 		FormerLeasesEnd: o.formerLeasesEnd,
 		DelayedLeases:   maps.Clone(o.delayedLeases),
+		MaxReservations: e.cfg.MaxReservations,
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -5,6 +5,7 @@
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/reserver"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// DelayedLeases holds when the last lease expires that a delayed call can
 	// have granted a runner before the cell was acquired, by the runner's id.
 	DelayedLeases map[string]time.Time
+	// MaxReservations is the largest number of reservations for large tasks at a time;
+	// zero means none.
+	MaxReservations int
 	// LogEvent logs a scheduling decision as a constant message with key/value
 	// pairs. It may be nil.
 	LogEvent func(message string, pairs ...any)
@@ -75,6 +79,8 @@
 	interference *interference
 	rejections   *rejections
 	waits        *waitMonitor
+	// reservations is nil if there are none.
+	reservations *reservations
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -102,6 +108,8 @@
 	// tasks that were given up because of that.
 	Crashes int64 `json:"crashes"`
 	GivenUp int64 `json:"given-up"`
+	// Reservations counts the reservations for large tasks.
+	Reservations reserver.Counts `json:"reservations"`
 }
 
 // NewCell returns a cell without jobs or runners.
@@ -125,6 +133,7 @@
 		interference: models,
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
+		reservations: newReservations(cfg.MaxReservations),
 		placementDue: true,
 	}
 }
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -36,6 +36,9 @@
 	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() {
 		return c.chooseImproved(now, service, change, w, t)
 	}
+	if c.packs(service, t.spec()) {
+		return c.chooseTight(now, service, w, t, gang)
+	}
 	order := service.orderFor(t.spec())
 	var best *runnerState
 	var bestRating rating
@@ -62,7 +65,10 @@
 // chooseImproved is like chooseSchedulable, for a step whose tasks no runner could
 // hold at a change; only the runners that improved since then are considered.
 func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
-	order := v.orderFor(t.spec())
+	compare := compareRated(v.orderFor(t.spec()).compare)
+	if c.packs(v, t.spec()) {
+		compare = compareTight(t.spec())
+	}
 	var best *runnerState
 	var bestRating rating
 	for e := v.improved.Front(); e != nil; e = e.Next() {
@@ -74,7 +80,7 @@
 			continue
 		}
 		r := c.rate(now, s, t, nil)
-		if best == nil || cmp.Or(r.compare(bestRating), order.compare(s, best)) < 0 {
+		if best == nil || compare(s, best, r, bestRating) < 0 {
 			best = s
 			bestRating = r
 		}
@@ -98,7 +104,7 @@
 		c.index.block(s)
 		return false
 	}
-	return c.fits(s, w, t)
+	return c.fits(s, w, t) && !c.reservedFromTask(now, s, w, t)
 }
 
 // tooBusy reports whether a runner has too few idle processors for a
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -48,6 +48,7 @@
 
 func (c *Cell) runDone(now time.Time, s *runnerState, t *task) {
 	c.Counts.Done++
+	c.learnEstimate(now, t)
 	s.recordSuccess()
 	if t.spec().LongRunning {
 		t.checkpoint = ""
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -54,6 +54,7 @@
 	c.index.refresh()
 	c.rejections.reset()
 	c.collectWaiting(now)
+	c.planReservations(now)
 	for i := range c.waiting {
 		w := &c.waiting[i]
 		if w.job.spec.Steps[w.step].Gang {
@@ -238,6 +239,7 @@
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
 		"free-millis", s.free().ProcessorMillis, "report-age-millis", now.Sub(s.listedAt).Milliseconds(), "queues-version", c.queues.Version)
 	c.bind(s, t)
+	c.startReserved(now, s, t)
 	if t.record.suspect() {
 		s.beginTrial(now, t)
 	}
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -19,6 +19,7 @@
 	c.index.refresh()
 	c.rejections.reset()
 	c.collectWaiting(now)
+	c.planReservations(now)
 	waiting := slices.Clone(c.waiting)
 	for i, w := range waiting {
 		waiting[i].starved = w.job.waitedLong && w.job.placed < minRunning && mostlyIdleByScan(c, c.service(w.job))
@@ -106,14 +107,23 @@
 }
 
 func chooseByScan(c *Cell, now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
+	c.index.refresh()
 	var best *runnerState
 	bestRating, bestMillis := rating{}, int64(0)
 	for _, key := range slices.SortedFunc(maps.Keys(c.runners), compareKeys) {
 		s := c.runners[key]
-		if s.info.Service != c.service(w.job) || !s.takes(now, t) || !c.fits(s, w, t) {
+		if s.info.Service != c.service(w.job) || !s.takes(now, t) || !c.fits(s, w, t) || c.reservedFromTask(now, s, w, t) {
 			continue
 		}
 		r, millis := c.rate(now, s, t, gang), s.idleMillis()
+		if c.packs(c.index.service(s.info.Service), t.spec()) {
+			// The tightest runner is the best, unless it has too few idle processors.
+			tight := compareTight(t.spec())
+			if best == nil || tight(s, best, r, bestRating) < 0 {
+				best, bestRating = s, r
+			}
+			continue
+		}
 		if t.spec().TargetMillis > 0 {
 			millis += s.latencyCriticalMillis
 		}
@@ -171,9 +181,11 @@
 	// failing holds the agents on whose runners all runs fail.
 	failing map[string]bool
 	jobs    int
+	// alike is set if all tasks need the same and there are no gangs.
+	alike bool
 }
 
-func newCellPair(t *testing.T, seed uint64, runners int) *cellPair {
+func newCellPair(t *testing.T, seed uint64, runners, reservations int) *cellPair {
 	p := &cellPair{
 		t:       t,
 		rnd:     rand.New(rand.NewPCG(seed, 3)),
@@ -186,6 +198,7 @@
 		Assert:          strictAsserter(t),
 		Lease:           testLease,
 		FormerLeasesEnd: p.now,
+		MaxReservations: reservations,
 	}
 	p.indexed, p.scanned = NewCell(cfg), NewCell(cfg)
 	p.both(func(c *Cell) { c.SetQueues(testQueues()) })
@@ -271,6 +284,11 @@
 		}
 		step.Needs.MemoryBytes = int64(1+p.rnd.IntN(4)) * gigabyte
 		p.vary(&step)
+		if p.alike {
+			step.Gang = false
+			step.BestEffort = false
+			step.Needs = newStep(1, 1500).Needs
+		}
 		spec.Steps = append(spec.Steps, step)
 	}
 	p.both(func(c *Cell) { c.Add(p.now, spec) })
@@ -385,10 +403,14 @@
 // The index only saves work: it places every task where a look at all runners
 // would have placed it.
 func TestIndexPlacesLikeScan(t *testing.T) {
-	const seeds, steps = 40, 250
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			p := newCellPair(t, seed, 4+int(seed)%9)
+	const seeds, reservingSeeds, steps = 40, 16, 250
+	for seed := range uint64(seeds + reservingSeeds) {
+		reservations := 0
+		if seed >= seeds {
+			reservations = testReservations
+		}
+		t.Run(fmt.Sprintf("seed %d, reservations %d", seed, reservations), func(t *testing.T) {
+			p := newCellPair(t, seed, 4+int(seed)%9, reservations)
 			placed := 0
 			for n := range steps {
 				p.step()
@@ -397,7 +419,25 @@
 				assert.Equal(t, p.indexed.Counts, p.scanned.Counts, "step %d", n)
 				placed += len(got)
 			}
+			assert.Equal(t, p.indexed.Counts.Reservations.Made > 0, reservations > 0)
 			assert.Assert(t, placed > steps, "the inputs must place tasks")
 		})
 	}
 }
+
+// Reservations change nothing while no large task waits.
+func TestNothingChangesWhileNoLargeTaskWaits(t *testing.T) {
+	const seeds, steps = 8, 250
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			p := newCellPair(t, seed, 3, 0)
+			p.alike = true
+			p.indexed.reservations = newReservations(testReservations)
+			for range steps {
+				p.step()
+				assert.DeepEqual(t, placements(p.indexed), placements(p.scanned))
+			}
+			assert.Equal(t, p.indexed.Counts, p.scanned.Counts)
+		})
+	}
+}
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -43,6 +43,8 @@
 	refusedBusy
 	// refusedNotTolerated: a best-effort task would slow latency-critical ones.
 	refusedNotTolerated
+	// refusedForWaiting: the room is reserved for a larger task that waits.
+	refusedForWaiting
 
 	// acceptedLately: the runner accepts the task, and it improved after the
 	// last placement. Only waits are told so.
@@ -72,6 +74,7 @@
 	refusedReserved:       "reserved",
 	refusedBusy:           "busy",
 	refusedNotTolerated:   "not-tolerated",
+	refusedForWaiting:     "reserved-for-waiting",
 	acceptedLately:        "accepting-lately",
 }
 
--- /dev/null
+++ b/pkg/scheduler/reservations.go
@@ -0,0 +1,429 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
+	"github.com/bilberrywalk/bilberrywalk/pkg/reserver"
+)
+
+const (
+	// reserveAfter is how long a task must have waited for a runner until room is
+	// reserved for it. It is what the objectives of the most urgent jobs allow beside
+	// the run time.
+	reserveAfter = 300 * time.Millisecond
+	// largeFactor is the multiple of the average run in progress from which a task is
+	// large: the end of one such run does not free enough for it.
+	largeFactor = 2
+	// runnersPerPlan is how many runners of a service one plan looks at, beside those
+	// with reservations. With more of them, plans look at them in turn, so that the
+	// cost does not grow with their number. A gang needs more: gangWindow for each of
+	// its tasks.
+	runnersPerPlan    = 32
+	gangWindow        = 2
+	maxRunnersPerPlan = 512
+	// needsPerReservation is how many waiting needs a plan is given for each
+	// reservation, since no runner can ever hold some of them.
+	needsPerReservation = 2
+)
+
+// reservations connects a cell with its Reserver.
+type reservations struct {
+	reserver  *reserver.Reserver
+	estimates reserver.Estimates
+	limit     int
+	plannedAt time.Time
+	// sweeps holds the runners of each service that plans look at in turn.
+	sweeps map[string]*runnerSweep
+	// packed holds the services with a large task that waits: smaller ones are packed
+	// there, so that whole gaps remain.
+	packed map[string]struct{}
+	// estimatesVersion is the version of the estimates in the last plan.
+	estimatesVersion uint64
+	// needs, runners and runs are scratch space.
+	needs   []reserver.Need
+	runners []reserver.Runner
+	runs    []reserver.Run
+}
+
+// runnerSweep lists runners of which next is the next one to look at.
+type runnerSweep struct {
+	runners []*runnerState
+	next    int
+}
+
+// newReservations returns nil, which reserves nothing, if the limit is zero.
+func newReservations(limit int) *reservations {
+	if limit == 0 {
+		return nil
+	}
+	return &reservations{
+		reserver: reserver.New(reserver.Config{
+			Limit: limit,
+		}),
+		limit:  limit,
+		sweeps: map[string]*runnerSweep{},
+		packed: map[string]struct{}{},
+	}
+}
+
+// runSizes sums up what finite runs are allocated. Best-effort ones are not counted in
+// withProcessors, since they are allocated no processors.
+type runSizes struct {
+	runs           int64
+	withProcessors int64
+	allocated      publisher.Resources
+}
+
+// add adds the sizes of another set of runs, sign times.
+func (z *runSizes) add(other runSizes, sign int64) {
+	z.runs += sign * other.runs
+	z.withProcessors += sign * other.withProcessors
+	z.allocated.ProcessorMillis += sign * other.allocated.ProcessorMillis
+	z.allocated.MemoryBytes += sign * other.allocated.MemoryBytes
+	z.allocated.Accelerators += sign * other.allocated.Accelerators
+}
+
+// sizes returns the sizes of one run of the step.
+func (s *Step) sizes() runSizes {
+	if s.LongRunning {
+		return runSizes{}
+	}
+	z := runSizes{
+		runs:      1,
+		allocated: s.allocation(),
+	}
+	if !s.BestEffort {
+		z.withProcessors = 1
+	}
+	return z
+}
+
+// large reports whether a step's task or gang needs largeFactor times as much as the
+// average run.
+func (z *runSizes) large(step *Step) bool {
+	needs := step.allocation()
+	tasks := int64(1)
+	if step.Gang {
+		tasks = int64(step.Count)
+	}
+	exceeds := func(need, sum, runs int64) bool { return sum > 0 && need*tasks*runs >= largeFactor*sum }
+	return exceeds(needs.ProcessorMillis, z.allocated.ProcessorMillis, z.withProcessors) ||
+		exceeds(needs.MemoryBytes, z.allocated.MemoryBytes, z.runs) ||
+		exceeds(needs.Accelerators, z.allocated.Accelerators, z.runs)
+}
+
+func (t *task) needKey() reserver.Key {
+	return reserver.Key{
+		Job:        t.job.spec.ID,
+		Occurrence: t.occurrence.index,
+		Step:       t.step,
+	}
+}
+
+// planReservations reserves room for the large tasks that wait. It must follow
+// collectWaiting.
+func (c *Cell) planReservations(now time.Time) {
+	p := c.reservations
+	if p == nil || now.Sub(p.plannedAt) < placementInterval {
+		return
+	}
+	p.plannedAt = now
+	c.collectNeeds(now)
+	reserved := p.reserver.Runners()
+	if len(p.needs) == 0 && len(reserved) == 0 {
+		return
+	}
+	limits := make([]reserver.Reservation, len(reserved))
+	for i, key := range reserved {
+		limits[i] = *p.reserver.On(key)
+	}
+	c.collectRunners(now, reserved)
+	for i := range p.needs {
+		c.bar(&p.needs[i])
+	}
+	p.reserver.Plan(now, p.needs, p.runners)
+	relearned := p.estimatesVersion != p.estimates.Version()
+	p.estimatesVersion = p.estimates.Version()
+	for i, key := range reserved {
+		if s := c.runners[key]; s != nil && (relearned || loosened(&limits[i], p.reserver.On(key), key)) {
+			// It may hold tasks now that it refused because of the reservation.
+			c.index.improved(s)
+		}
+	}
+	c.index.refresh()
+	c.logReservations(now)
+}
+
+// loosened reports whether a runner may hold more by a reservation, which may be nil,
+// than by the former one.
+func loosened(before, after *reserver.Reservation, runner framer.RunnerKey) bool {
+	return after == nil || after.Need != before.Need || after.BackfillUntil().After(before.BackfillUntil()) ||
+		!publisher.Within(after.Part(runner).Spare, before.Part(runner).Spare)
+}
+
+// collectNeeds sets needs to the large tasks that wait, those that come first at the
+// front, and packed to their services.
+func (c *Cell) collectNeeds(now time.Time) {
+	p := c.reservations
+	clear(p.packed)
+	clear(p.needs)
+	p.needs = p.needs[:0]
+	for i := range c.waiting {
+		w := &c.waiting[i]
+		since := w.occurrence.full[w.step].noRunnerSince
+		if since.IsZero() || now.Sub(since) < reserveAfter {
+			continue
+		}
+		if t := c.largeTask(now, w); t != nil {
+			p.packed[c.service(w.job)] = struct{}{}
+			p.addNeed(c.need(w, t))
+		}
+	}
+}
+
+// largeTask returns the next task of a step to be placed, the first one of a gang, if it
+// is large or has a reservation, and nil otherwise.
+func (c *Cell) largeTask(now time.Time, w *candidate) *task {
+	step := &w.job.spec.Steps[w.step]
+	tasks := w.occurrence.steps[w.step]
+	i := slices.IndexFunc(tasks, func(t *task) bool { return t.pending(now) })
+	t := tasks[i]
+	placeable := w.job.placed < w.job.maxPlaced
+	if step.Gang {
+		placeable = w.job.placed+len(tasks) <= w.job.maxPlaced && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
+	}
+	// A suspect waits for a runner of its own.
+	if !placeable || t.record.suspect() {
+		return nil
+	}
+	if c.reservations.reserver.For(t.needKey()) == nil && !c.index.service(c.service(w.job)).sizes.large(step) {
+		return nil
+	}
+	return t
+}
+
+// addNeed adds a need, unless there are enough that come before it.
+func (p *reservations) addNeed(n reserver.Need) {
+	i, _ := slices.BinarySearchFunc(p.needs, n, reserver.CompareNeeds)
+	if i == p.limit*needsPerReservation {
+		return
+	}
+	p.needs = slices.Insert(p.needs, i, n)
+	p.needs = p.needs[:min(len(p.needs), p.limit*needsPerReservation)]
+}
+
+// need returns what a task needs, or its gang.
+func (c *Cell) need(w *candidate, t *task) reserver.Need {
+	step := t.spec()
+	n := reserver.Need{
+		Key:          t.needKey(),
+		Service:      c.service(t.job),
+		Urgency:      w.urgency,
+		Since:        w.occurrence.full[w.step].noRunnerSince,
+		Needs:        step.allocation(),
+		Count:        1,
+		MaxPerRunner: step.AntiAffinity,
+	}
+	if step.Gang {
+		n.Count = step.Count
+		n.RackLocal = step.RackLocal
+	}
+	if w.urgency > 0 && !step.BestEffort {
+		n.KeepPercent = reservePercent
+		n.KeepMost = reserver.NoLimit
+		if step.LongRunning {
+			n.KeepMost = n.Needs.ProcessorMillis
+		}
+	}
+	return n
+}
+
+// bar sets which of the runners in the plan a need cannot use, whatever is free there.
+func (c *Cell) bar(n *reserver.Need) {
+	r := c.jobs[n.Key.Job].occurrences[n.Key.Occurrence]
+	t := r.steps[n.Key.Step][0]
+	step := t.spec()
+	if step.Requires == "" && step.AntiAffinity == 0 {
+		return
+	}
+	n.Barred = map[framer.RunnerKey]struct{}{}
+	for i := range c.reservations.runners {
+		s := c.runners[c.reservations.runners[i].Key]
+		if step.Requires != "" && !slices.Contains(s.info.Labels, step.Requires) ||
+			step.AntiAffinity > 0 && siblings(s, t) >= step.AntiAffinity {
+			n.Barred[s.key] = struct{}{}
+		}
+	}
+}
+
+// collectRunners sets runners to those with reservations and the next ones of the
+// services with needs.
+func (c *Cell) collectRunners(now time.Time, reserved []framer.RunnerKey) {
+	p := c.reservations
+	clear(p.runners)
+	p.runners = p.runners[:0]
+	p.runs = p.runs[:0]
+	seen := map[framer.RunnerKey]struct{}{}
+	add := func(s *runnerState) {
+		if _, ok := seen[s.key]; ok || !s.schedulable(now) {
+			return
+		}
+		seen[s.key] = struct{}{}
+		p.runners = append(p.runners, c.reservable(now, s))
+	}
+	for _, key := range reserved {
+		if s := c.runners[key]; s != nil {
+			add(s)
+		}
+	}
+	windows := map[string]int{}
+	for i := range p.needs {
+		n := &p.needs[i]
+		windows[n.Service] = min(maxRunnersPerPlan, max(windows[n.Service], runnersPerPlan, gangWindow*n.Count))
+	}
+	for service, window := range windows {
+		for _, s := range c.nextRunners(service, window) {
+			add(s)
+		}
+	}
+}
+
+// nextRunners returns the next runners of a service to look at.
+func (c *Cell) nextRunners(service string, window int) []*runnerState {
+	p := c.reservations
+	sweep := p.sweeps[service]
+	if sweep == nil {
+		sweep = &runnerSweep{}
+		p.sweeps[service] = sweep
+	}
+	if sweep.next >= len(sweep.runners) {
+		sweep.runners = append(sweep.runners[:0], c.index.service(service).byIdle.runners...)
+		sweep.next = 0
+	}
+	next := sweep.runners[sweep.next:min(len(sweep.runners), sweep.next+window)]
+	sweep.next += len(next)
+	return slices.DeleteFunc(slices.Clone(next), func(s *runnerState) bool { return s.position.removed })
+}
+
+// reservable describes a runner to the Reserver.
+func (c *Cell) reservable(now time.Time, s *runnerState) reserver.Runner {
+	p := c.reservations
+	from := len(p.runs)
+	for t := range s.tasks {
+		p.runs = append(p.runs, reserver.Run{
+			EndsBy: c.endsBy(now, t),
+			Needs:  t.spec().allocation(),
+		})
+	}
+	return reserver.Runner{
+		Key:             s.key,
+		Service:         s.info.Service,
+		Rack:            strings.Join(s.info.Labels, "\n"),
+		ProcessorMillis: s.info.ProcessorMillis,
+		Free:            s.free(),
+		Runs:            p.runs[from:len(p.runs):len(p.runs)],
+	}
+}
+
+// endsBy returns the time by which the run of a task ends, or would if it was started
+// now. It is zero if the task runs until its job is cancelled.
+func (c *Cell) endsBy(now time.Time, t *task) time.Time {
+	if t.spec().LongRunning {
+		return time.Time{}
+	}
+	return c.reservations.estimates.EndsBy(now, t.runsSince(now), t.class(), t.estimate())
+}
+
+func (t *task) class() reserver.Class {
+	return reserver.Class{
+		Queue:      t.job.spec.Queue,
+		BestEffort: t.spec().BestEffort,
+	}
+}
+
+func (t *task) estimate() time.Duration {
+	return time.Duration(t.spec().EstimateMillis) * time.Millisecond
+}
+
+// runsSince returns since when the task has run, as far as this owner knows.
+func (t *task) runsSince(now time.Time) time.Time {
+	switch {
+	case t.runner != nil && t.listed:
+		return t.listedSince
+	case t.runner != nil && t.startSent && !t.startSentAt.IsZero():
+		return t.startSentAt
+	default:
+		return now
+	}
+}
+
+// learnEstimate records how long a run took that is done. A resumed run does only a part
+// of the work, and of one that a former owner started it is not known when it began.
+func (c *Cell) learnEstimate(now time.Time, t *task) {
+	if c.reservations != nil && t.run == 1 && !t.spec().LongRunning && t.startSent && !t.startSentAt.IsZero() {
+		c.reservations.estimates.Observe(t.class(), t.estimate(), now.Sub(t.runsSince(now)))
+	}
+}
+
+// reservedFromTask reports whether a reservation for another task keeps a task off a
+// runner.
+func (c *Cell) reservedFromTask(now time.Time, s *runnerState, w *candidate, t *task) bool {
+	p := c.reservations
+	if p == nil || p.reserver.On(s.key) == nil {
+		return false
+	}
+	return !p.reserver.Allows(now, s.key, c.need(w, t), c.endsBy(now, t))
+}
+
+// startReserved records a start with regard to reservations.
+func (c *Cell) startReserved(now time.Time, s *runnerState, t *task) {
+	p := c.reservations
+	if p == nil || p.reserver.On(s.key) == nil && p.reserver.For(t.needKey()) == nil {
+		return
+	}
+	w := candidate{
+		job:        t.job,
+		occurrence: t.occurrence,
+		step:       t.step,
+		urgency:    c.terms(t.job).Urgency,
+	}
+	held := p.reserver.For(t.needKey())
+	p.reserver.Started(s.key, c.need(&w, t), c.endsBy(now, t))
+	if held != nil {
+		for _, part := range held.Parts {
+			if other := c.runners[part.Runner]; other != nil {
+				c.index.improved(other)
+			}
+		}
+		c.index.refresh()
+	}
+	c.logReservations(now)
+}
+
+// logReservations logs the changes of reservations and counts them.
+func (c *Cell) logReservations(now time.Time) {
+	p := c.reservations
+	for _, change := range p.reserver.Changes() {
+		held := &change.Reservation
+		runners := make([]string, len(held.Parts))
+		for i, part := range held.Parts {
+			runners[i] = part.Runner.ID
+		}
+		c.cfg.LogEvent("reservation "+string(change.Kind), "job", held.Need.Job, "occurrence", held.Need.Occurrence, "step", held.Need.Step,
+			"urgency", held.Urgency, "runners", runners, "starts-in-millis", held.StartsAt.Sub(now).Milliseconds(),
+			"promised-in-millis", held.PromisedAt.Sub(now).Milliseconds(), "reserved-millis", now.Sub(held.MadeAt).Milliseconds())
+	}
+	c.Counts.Reservations = p.reserver.Counts()
+}
+
+// reservationFor returns the reservation for a task, or nil.
+func (c *Cell) reservationFor(t *task) *reserver.Reservation {
+	if c.reservations == nil {
+		return nil
+	}
+	return c.reservations.reserver.For(t.needKey())
+}
--- a/pkg/scheduler/runner_index.go
+++ b/pkg/scheduler/runner_index.go
@@ -24,6 +24,7 @@
 
 // serviceIndex holds the runners of one service.
 type serviceIndex struct {
+	name string
 	// byIdle orders runners by idle processors, byPacked by those and the
 	// processors of latency-critical tasks.
 	byIdle   ranking
@@ -34,6 +35,8 @@
 	// have an agent, in thousandths of one.
 	allocatedMillis int64
 	capacityMillis  int64
+	// sizes sums up the finite tasks on the runners.
+	sizes runSizes
 }
 
 // indexPosition is what the index recorded of a runner at the last refresh.
@@ -46,6 +49,7 @@
 	improvedAt      uint64
 	allocatedMillis int64
 	capacityMillis  int64
+	sizes           runSizes
 
 	stale bool
 	// mayHoldMore is set if the runner improved since the last refresh.
@@ -65,6 +69,7 @@
 	v := x.services[name]
 	if v == nil {
 		v = &serviceIndex{
+			name: name,
 			byIdle: ranking{
 				value: func(p *indexPosition) int64 { return p.idle },
 			},
@@ -149,6 +154,7 @@
 	v.byPacked.remove(s)
 	v.allocatedMillis -= p.allocatedMillis
 	v.capacityMillis -= p.capacityMillis
+	v.sizes.add(p.sizes, -1)
 	if p.removed || x.services[s.info.Service] != v {
 		v.improved.Remove(p.improved)
 		p.improved = nil
@@ -172,6 +178,8 @@
 	v.byPacked.insert(s)
 	v.allocatedMillis += p.allocatedMillis
 	v.capacityMillis += p.capacityMillis
+	p.sizes = s.sizes
+	v.sizes.add(p.sizes, 1)
 	if p.improved == nil {
 		p.improved = v.improved.PushFront(s)
 		p.mayHoldMore = true
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -63,6 +63,8 @@
 	// of the two kinds request, in thousandths of one.
 	bestEffortMillis      int64
 	latencyCriticalMillis int64
+	// sizes sums up the finite tasks.
+	sizes runSizes
 	// latencyCritical and bestEffort count the tasks of each image.
 	latencyCritical map[string]int
 	bestEffort      map[string]int
@@ -156,6 +158,7 @@
 	t.runner = s
 	s.tasks[t] = struct{}{}
 	s.allocated = publisher.Add(s.allocated, step.allocation())
+	s.sizes.add(step.sizes(), 1)
 	if step.BestEffort {
 		s.bestEffort[step.Image]++
 		s.bestEffortMillis += step.Needs.ProcessorMillis
@@ -173,6 +176,7 @@
 	t.runner = nil
 	delete(s.tasks, t)
 	s.allocated = publisher.Subtract(s.allocated, step.allocation())
+	s.sizes.add(step.sizes(), -1)
 	if step.BestEffort {
 		decrement(s.bestEffort, step.Image)
 		s.bestEffortMillis -= step.Needs.ProcessorMillis
--- a/pkg/scheduler/scale_benchmark_test.go
+++ b/pkg/scheduler/scale_benchmark_test.go
@@ -210,6 +210,42 @@
 	})
 }
 
+// BenchmarkPlaceBesideReservations places a waiting task each time a run has finished,
+// and plans the reservations of large tasks each time. The number of waiting jobs does not
+// depend on the number of runners.
+func BenchmarkPlaceBesideReservations(b *testing.B) {
+	const waitingJobs = 16
+	benchmarkFleets(b, func(b *testing.B, runners int) {
+		f := newFleet(runners)
+		f.cell.reservations = newReservations(testReservations)
+		f.fill(waitingJobs)
+		large := newStep(2*testReservations, fleetTaskMillis*fleetSlots)
+		f.cell.Add(f.now, Spec{
+			ID:      "large",
+			Queue:   "checks",
+			Service: "polls",
+			Steps:   []Step{large},
+		})
+		f.cell.Tick(f.now, true)
+		f.now = f.now.Add(reserveAfter)
+		for i := 0; b.Loop(); i++ {
+			s := f.cell.agents[f.reports[i%runners].Runner.Address]
+			if f.cell.reservations.reserver.On(s.key) != nil {
+				continue
+			}
+			for t := range s.tasks {
+				f.cell.release(t)
+				break
+			}
+			f.cell.reservations.plannedAt = time.Time{}
+			f.cell.Tick(f.now, true)
+		}
+		if f.cell.Counts.Reservations.Made == 0 {
+			b.Fatal("nothing was reserved")
+		}
+	})
+}
+
 // BenchmarkReport handles a report of ten running tasks with the sync that
 // follows.
 func BenchmarkReport(b *testing.B) {
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -278,6 +278,10 @@
 			}
 		}
 	}
+	if held := c.reservationFor(t); held != nil {
+		pairs = append(pairs, "reserved-runner", held.Parts[0].Runner.ID, "reserved-runners", len(held.Parts),
+			"reserved-in-millis", held.StartsAt.Sub(now).Milliseconds())
+	}
 	if suppressed := c.waits.counted.LinesSuppressed; suppressed > 0 {
 		pairs = append(pairs, "suppressed", suppressed)
 	}
@@ -323,6 +327,9 @@
 		if reason == accepted {
 			reason = c.misfit(s, &w, t)
 		}
+		if reason == accepted && c.reservedFromTask(now, s, &w, t) {
+			reason = refusedForWaiting
+		}
 		if reason == accepted && s.position.mayHoldMore {
 			reason = acceptedLately
 		}
@@ -344,6 +351,8 @@
 		return causeNotQueued
 	case gang && slices.ContainsFunc(t.occurrence.steps[t.step], memberPlaced):
 		return causeGangIncomplete
+	case c.reservationFor(t) != nil:
+		return causeRunnerReserved
 	case refusals[accepted]+refusals[acceptedLately] == 0:
 		return refusedBy(refusals)
 	case now.Sub(c.placedAt) > placementPause:
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -58,6 +58,11 @@
 	// causeInterference: those with free capacity are too busy for best-effort
 	// tasks, or their latency-critical ones do not tolerate them.
 	causeInterference
+	// causeRunnerReserved: a runner is reserved for the task, and its room is not free
+	// yet.
+	causeRunnerReserved
+	// causeRoomReserved: those with free capacity are reserved for larger tasks.
+	causeRoomReserved
 	// causeNoRoomForGang: some runners accept a task, too few for the gang.
 	causeNoRoomForGang
 	// causePlacementPaused: a runner accepts the task, but nothing is placed at
@@ -92,6 +97,8 @@
 	causeAntiAffinity:       "anti-affinity",
 	causeNoRoom:             "no-room",
 	causeInterference:       "interference",
+	causeRunnerReserved:     "runner-reserved",
+	causeRoomReserved:       "room-reserved",
 	causeNoRoomForGang:      "no-room-for-gang",
 	causePlacementPaused:    "placement-paused",
 	causePlacementDue:       "placement-due",
@@ -160,6 +167,8 @@
 		return causeAntiAffinity
 	case last <= refusedReserved:
 		return causeNoRoom
+	case last == refusedForWaiting:
+		return causeRoomReserved
 	default:
 		return causeInterference
 	}
