--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -224,5 +224,12 @@
 guard limits-of-earlier-agent-are-unknown pkg/supervisor/throttler.go 's/case !known \&\& !t.listed:/case false:/' pkg/supervisor TestNewAgentSetsTheSpeedLimitsOfEarlierRuns
 guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
+guard large-task-gets-a-reservation pkg/scheduler/placing.go 's/^\tc.planReservations\(now\)//' pkg/scheduler 'TestLargeTaskAmongStreamOfSmallOnesStartsAsPromised|TestGangAmongSingleTasksStartsAsPromised'
+guard reservation-binds-other-tasks pkg/scheduler/choosing.go 's/ \&\& !c.reservedFromTask\(now, s, w, t\)//' pkg/scheduler 'TestLargeTaskAmongStreamOfSmallOnesStartsAsPromised'
+guard urgent-tasks-pass-reservations pkg/reserver/reserver.go 's/task.Urgency < held.Urgency/false/' pkg/scheduler TestLargeTaskOfLessUrgentQueueDelaysNoUrgentOne
+guard short-tasks-are-backfilled pkg/reserver/reserver.go 's/return !endsBy.IsZero\(\).*/return false/' pkg/scheduler TestTasksThatEndBeforeTheReservationAreBackfilled
+guard reservations-expire pkg/reserver/reserver.go 's/if held != nil \&\& !now.Before\(held.ExpiresAt\(\)\) \{/if false {/; s/ \|\| !now.Before\(held.ExpiresAt\(\)\) \{/ {/' pkg/scheduler TestReservationExpiresIfTheRoomDoesNotBecomeFree
+guard estimates-are-corrected pkg/reserver/estimates.go 's/return c.percentile\(\)$/return 1/' pkg/reserver TestEstimatesAreCorrectedByTheErrorOfFinishedRuns
+guard small-tasks-are-packed pkg/scheduler/packing.go 's/^\treturn packed$/\treturn false \&\& packed/' pkg/scheduler TestSmallTasksLeaveTheGapsOfLargeRunnersWhole
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
