reserver: needs that no runner can hold keep no other from a reservation

cause: a plan was given the first two needs for each reservation; of a queue with more tasks than that which no runner can ever hold, none of the others got a reservation, and the service was packed for them without end. ruled out: remembering hopeless needs: runners change, and a plan sees a part of them only. change: a plan is given 16 needs for each reservation, and leaves out those that would not fit if all runs that end had ended.

--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -202,6 +202,9 @@
 // that are to be considered.
 func (r *Reserver) Plan(now time.Time, waiting []Need, runners []Runner) []Reservation {
 	slices.SortFunc(waiting, CompareNeeds)
+	for i := range runners {
+		runners[i].prepare()
+	}
 	r.forgetExpired(now)
 	former := r.byNeed
 	r.byNeed = map[Key]*Reservation{}
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -163,3 +163,12 @@
 		assert.Assert(t, e.EndsBy(start, start, class, 0).IsZero(), "no estimate")
 	}
 }
+
+// Needs that no runner can ever hold must not keep others from a reservation.
+func TestNeedThatNoRunnerCanHoldBlocksNoOther(t *testing.T) {
+	runners := []Runner{full("a", 2, 3)}
+	gang := need("gang", 0, 4, 3)
+	list := newReserver(1).Plan(start, []Need{need("huge", 0, 40, 1), gang, need("j", 1, 8, 1)}, runners)
+	assert.Equal(t, len(list), 1)
+	assertReserved(t, list[0], after(3), "a")
+}
--- a/pkg/reserver/room.go
+++ b/pkg/reserver/room.go
@@ -27,6 +27,19 @@
 	// Free is what can be allocated now.
 	Free publisher.Resources
 	Runs []Run
+	// most is what is free once all runs that end have ended.
+	most publisher.Resources
+}
+
+// prepare orders the runs by their ends.
+func (r *Runner) prepare() {
+	slices.SortFunc(r.Runs, func(a, b Run) int { return a.EndsBy.Compare(b.EndsBy) })
+	r.most = r.Free
+	for _, run := range r.Runs {
+		if !run.EndsBy.IsZero() {
+			r.most = publisher.Add(r.most, run.Needs)
+		}
+	}
 }
 
 // Part is what a reservation holds on one runner.
@@ -79,14 +92,25 @@
 
 // earliestOn is like earliest, without regard to racks.
 func earliestOn(now time.Time, n *Need, runners []Runner, usable func(*Runner) bool) (room, bool) {
-	var openings []opening
+	var able []int
+	tasks := 0
 	for i := range runners {
-		if n.accepts(&runners[i]) && usable(&runners[i]) {
-			openings = n.appendOpenings(now, openings, runners, i)
+		if r := &runners[i]; n.accepts(r) && usable(r) {
+			if most := n.tasksIn(n.usable(r, r.most)); most > 0 {
+				able = append(able, i)
+				tasks += most
+			}
 		}
 	}
+	if tasks < n.Count {
+		return room{}, false
+	}
+	var openings []opening
+	for _, i := range able {
+		openings = n.appendOpenings(now, openings, runners, i)
+	}
 	slices.SortFunc(openings, func(a, b opening) int { return a.at.Compare(b.at) })
-	tasks := 0
+	tasks = 0
 	for i, o := range openings {
 		tasks += o.tasks
 		if tasks >= n.Count {
@@ -102,7 +126,6 @@
 // appendOpenings appends the times at which a runner can hold more tasks of the need.
 func (n *Need) appendOpenings(now time.Time, openings []opening, runners []Runner, i int) []opening {
 	r := &runners[i]
-	slices.SortFunc(r.Runs, func(a, b Run) int { return a.EndsBy.Compare(b.EndsBy) })
 	free := n.usable(r, r.Free)
 	held := n.tasksIn(free)
 	if held > 0 {
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -27,7 +27,7 @@
 	maxRunnersPerPlan = 512
 	// needsPerReservation is how many waiting needs a plan is given for each
 	// reservation, since no runner can ever hold some of them.
-	needsPerReservation = 2
+	needsPerReservation = 16
 )
 
 // reservations connects a cell with its Reserver.
@@ -38,8 +38,8 @@
 	plannedAt time.Time
 	// sweeps holds the runners of each service that plans look at in turn.
 	sweeps map[string]*runnerSweep
-	// packed holds the services with a large task that waits: smaller ones are packed
-	// there, so that whole gaps remain.
+	// packed holds the services with a reservation for processors: other tasks are
+	// packed there, so that whole gaps remain.
 	packed map[string]struct{}
 	// estimatesVersion is the version of the estimates in the last plan.
 	estimatesVersion uint64
@@ -134,6 +134,7 @@
 	p.plannedAt = now
 	c.collectNeeds(now)
 	reserved := p.reserver.Runners()
+	clear(p.packed)
 	if len(p.needs) == 0 && len(reserved) == 0 {
 		return
 	}
@@ -146,6 +147,11 @@
 		c.bar(&p.needs[i])
 	}
 	p.reserver.Plan(now, p.needs, p.runners)
+	for i := range p.needs {
+		if n := &p.needs[i]; n.Needs.ProcessorMillis > 0 && p.reserver.For(n.Key) != nil {
+			p.packed[n.Service] = struct{}{}
+		}
+	}
 	relearned := p.estimatesVersion != p.estimates.Version()
 	p.estimatesVersion = p.estimates.Version()
 	for i, key := range reserved {
@@ -166,10 +172,9 @@
 }
 
 // collectNeeds sets needs to the large tasks that wait, those that come first at the
-// front, and packed to their services.
+// front.
 func (c *Cell) collectNeeds(now time.Time) {
 	p := c.reservations
-	clear(p.packed)
 	clear(p.needs)
 	p.needs = p.needs[:0]
 	for i := range c.waiting {
@@ -179,7 +184,6 @@
 			continue
 		}
 		if t := c.largeTask(now, w); t != nil {
-			p.packed[c.service(w.job)] = struct{}{}
 			p.addNeed(c.need(w, t))
 		}
 	}
