--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -45,6 +45,7 @@
 			LongestLease:    sim.longestLease,
 			FormerLeasesEnd: sim.formerLeasesEnd(),
 			DelayedLeases:   sim.delayedLeases(former),
+			MaxReservations: sim.maxReservations,
 		})
 		o.cell.SetQueues(sim.queues)
 		for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -45,6 +45,8 @@
 	longestLease time.Duration
 	// ownerLease is how long an owner that was replaced may still grant leases.
 	ownerLease time.Duration
+	// maxReservations bounds the owner's reservations for large tasks.
+	maxReservations int
 	// reportProgress makes the runners list the progress of their runs.
 	reportProgress bool
 	log            []string
