reserver: of runners with room at the same time, the tightest is reserved

cause: only the runners up to the first that was enough were compared, so the choice between equal ones depended on their order. change: all openings at the same time are considered. after: TestTightestOfEqualRunnersIsReserved.

--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -172,3 +172,14 @@
 	assert.Equal(t, len(list), 1)
 	assertReserved(t, list[0], after(3), "a")
 }
+
+// Of runners with room at the same time, the one with the least left is reserved, whatever
+// their order: the others keep their whole gaps.
+func TestTightestOfEqualRunnersIsReserved(t *testing.T) {
+	for _, runners := range [][]Runner{
+		{full("a", 3, 3, 3), full("b", 3, 3)},
+		{full("b", 3, 3), full("a", 3, 3, 3)},
+	} {
+		assertReserved(t, newReserver(1).Plan(start, []Need{need("j", 0, 8, 1)}, runners)[0], after(3), "b")
+	}
+}
--- a/pkg/reserver/room.go
+++ b/pkg/reserver/room.go
@@ -113,7 +113,7 @@
 	tasks = 0
 	for i, o := range openings {
 		tasks += o.tasks
-		if tasks >= n.Count {
+		if tasks >= n.Count && (i+1 == len(openings) || openings[i+1].at.After(o.at)) {
 			return room{
 				at:    o.at,
 				parts: n.parts(o.at, runners, openings[:i+1]),
