--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -40,6 +40,9 @@
 	// to 1h. Orders are obeyed in any case. With a bound, an entry that cannot read
 	// the orders starts nothing.
 	DrainWithin publisher.Duration `toml:"drain-within"`
+	// MaxReservations is the largest number of large tasks and gangs for which room
+	// is reserved on runners at a time: 0 to 64. Zero means that none is.
+	MaxReservations int `toml:"max-reservations"`
 	// Grace is the maximum time that a process may take to shut down.
 	Grace publisher.Duration `toml:"grace"`
 	// Callers is the IP number and port for callers' requests; entries only.
@@ -57,10 +60,11 @@
 // FleetDefaults returns the defaults of the settings that a file may omit.
 func FleetDefaults() Fleet {
 	return Fleet{
-		LogLevel:      "info",
-		LongestLease:  publisher.Duration(6 * time.Second),
-		RestartWithin: publisher.Duration(9 * time.Second),
-		Grace:         publisher.Duration(6 * time.Second),
+		LogLevel:        "info",
+		LongestLease:    publisher.Duration(6 * time.Second),
+		RestartWithin:   publisher.Duration(9 * time.Second),
+		MaxReservations: 4,
+		Grace:           publisher.Duration(6 * time.Second),
 	}
 }
 
@@ -89,6 +93,7 @@
 	const minDrain = int64(3 * time.Second)
 	const minRestart = int64(6 * time.Second)
 	const maxProcessors = 1 << 10
+	const maxReservations = 64
 	checks := []error{
 		checkAddress("link", f.Link),
 		checkAddress("store", f.Store),
@@ -97,6 +102,7 @@
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
 		publisher.CheckRange("restart-within", int64(f.RestartWithin), minRestart, maxDuration),
 		checkDrainWithin(f.DrainWithin, minDrain, maxDuration),
+		publisher.CheckRange("max-reservations", int64(f.MaxReservations), 0, maxReservations),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
 		checkOptionalAddress("callers", f.Callers),
 		checkOptionalAddress("readiness", f.Readiness),
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -114,6 +114,7 @@
 		FormerLeasesEnd: o.formerLeasesEnd,
 		DelayedLeases:   maps.Clone(o.delayedLeases),
 		DrainWithin:     time.Duration(e.cfg.DrainWithin),
+		MaxReservations: e.cfg.MaxReservations,
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -6,6 +6,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
 	"github.com/bilberrywalk/bilberrywalk/pkg/drainer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/reserver"
 )
 
 const (
@@ -40,6 +41,9 @@
 	// DrainWithin is the time from the confirmation of an order to drain a failure
 	// domain until no task may start there; zero sets no bound.
 	DrainWithin time.Duration
+	// MaxReservations is the largest number of reservations for large tasks at a time;
+	// zero means none.
+	MaxReservations int
 	// LogEvent logs a scheduling decision as a constant message with key/value
 	// pairs. It may be nil.
 	LogEvent func(message string, pairs ...any)
@@ -83,6 +87,8 @@
 	// ordersReadAt.
 	domains      *drainer.Drainer
 	ordersReadAt time.Time
+	// reservations is nil if there are none.
+	reservations *reservations
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -110,6 +116,8 @@
 	// tasks that were given up because of that.
 	Crashes int64 `json:"crashes"`
 	GivenUp int64 `json:"given-up"`
+	// Reservations counts the reservations for large tasks.
+	Reservations reserver.Counts `json:"reservations"`
 }
 
 // NewCell returns a cell without jobs or runners.
@@ -136,6 +144,7 @@
 		domains: drainer.New(drainer.Config{
 			LogEvent: cfg.LogEvent,
 		}),
+		reservations: newReservations(cfg.MaxReservations),
 		placementDue: true,
 	}
 }
