scheduler: second runs of late speculative tasks

Cause: a task had one run at a time, so a task on a slow, stuck or lost runner kept its job waiting, although its caller allowed copies.

Ruled out: a list of runs of each task, since every place that starts, waits for or stores a task would have to choose one of them; a separate structure for the copy, since listings, leases, crashes, stops and syncs would need a second implementation.

Change: a copy is a second value of the type task that shares the task's state (taskState) with the current run. Everything that a runner's state holds refers to one run as before. If the current run ends first, the copy takes its place, so a task without a current run has no run at all. Progress.Copies lists the copies; rows without it decode as before. The end of a task is acknowledged once no other run of it can start. Metrics and log lines tell copies that were started, won, lost and refused for the budget.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -75,6 +75,7 @@
 	interference *interference
 	rejections   *rejections
 	waits        *waitMonitor
+	copies       *copies
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -102,6 +103,13 @@
 	// tasks that were given up because of that.
 	Crashes int64 `json:"crashes"`
 	GivenUp int64 `json:"given-up"`
+	// CopiesStarted counts the copies of late tasks, CopiesWon those that were the first
+	// to be done, and CopiesLost those that ended otherwise. CopiesRefused counts the
+	// late runs that got no copy when they were first looked at because of the budget.
+	CopiesStarted int64 `json:"copies-started"`
+	CopiesWon     int64 `json:"copies-won"`
+	CopiesLost    int64 `json:"copies-lost"`
+	CopiesRefused int64 `json:"copies-refused"`
 }
 
 // NewCell returns a cell without jobs or runners.
@@ -125,6 +133,7 @@
 		interference: models,
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
+		copies:       newCopies(),
 		placementDue: true,
 	}
 }
@@ -202,6 +211,7 @@
 	for i, t := range tasks {
 		row := p.Tasks[i]
 		t.run = row.Run
+		t.lastRun = row.Run
 		t.committedRun = row.Run
 		t.failures = row.Failures
 		t.checkpoint = row.Checkpoint
@@ -214,18 +224,28 @@
 		if row.RunnerID == "" {
 			continue
 		}
-		t.startSent = true
-		t.stopping = j.state.Final()
-		j.placed++
-		s := c.runner(framer.RunnerKey{
+		c.loadRun(seenAt, t, framer.RunnerKey{
 			ID:              row.RunnerID,
 			StartedAtMillis: row.RunnerStartedAtMillis,
-		})
-		if row.Address != "" {
-			c.setAddress(s, row.Address)
-		}
-		s.bind(t)
+		}, row.Address)
+	}
+	for _, row := range p.Copies {
+		c.loadCopy(seenAt, tasks, row)
+	}
+}
+
+// loadRun restores a run that may be on a runner.
+func (c *Cell) loadRun(seenAt time.Time, t *task, key framer.RunnerKey, address string) {
+	t.startSent = true
+	t.stopping = t.job.state.Final() || t.done
+	t.placedAt = seenAt
+	s := c.runner(key)
+	if address != "" {
+		c.setAddress(s, address)
 	}
+	s.bind(t)
+	c.countPlaced(t, 1)
+	c.watchForCopies(t)
 }
 
 // runner returns the state of one runner incarnation and creates it if it is
@@ -281,7 +301,7 @@
 	c.cfg.LogEvent("job ended", "job", j.spec.ID, "state", state)
 	c.markChanged(j)
 	for _, t := range j.tasks() {
-		c.stop(t)
+		c.stopAll(t)
 	}
 }
 
@@ -309,7 +329,7 @@
 
 func (c *Cell) bind(s *runnerState, t *task) {
 	s.bind(t)
-	t.job.placed++
+	c.countPlaced(t, 1)
 	t.job.idleSince = time.Time{}
 }
 
@@ -317,8 +337,9 @@
 func (c *Cell) release(t *task) {
 	t.runner.needsSync()
 	t.runner.release(t)
-	t.job.placed--
+	c.countPlaced(t, -1)
 	c.addUnplaced(t.job)
+	c.forgetCopy(t)
 	t.startSent = false
 	t.confirmed = false
 	t.listed = false
@@ -327,6 +348,10 @@
 	t.percent = 0
 	t.stalledFor = 0
 	t.stopping = false
+	t.placedAt = time.Time{}
+	t.known = false
+	t.moved = false
+	c.endRun(t)
 	c.markChanged(t.job)
 }
 
@@ -363,5 +388,7 @@
 		c.placementDue = false
 		c.placedAt = now
 		c.place(now)
+		// What no first run takes now is left to copies.
+		c.startCopies(now)
 	}
 }
--- a/pkg/scheduler/commit.go
+++ b/pkg/scheduler/commit.go
@@ -89,10 +89,13 @@
 		since:    since,
 	}
 	for _, t := range j.tasks() {
-		if t.runner != nil {
+		for _, r := range t.runs() {
+			if r == nil || r.runner == nil {
+				continue
+			}
 			row.runs = append(row.runs, committedRun{
-				task: t,
-				run:  t.run,
+				task: r,
+				run:  r.run,
 			})
 		}
 	}
@@ -129,7 +132,7 @@
 		if j != nil {
 			j.rejected = false
 		}
-		if j != nil && !changed && j.state.Final() && j.placed == 0 {
+		if j != nil && !changed && j.ended() {
 			delete(c.jobs, row.ID)
 		}
 	}
--- /dev/null
+++ b/pkg/scheduler/copies_test.go
@@ -0,0 +1,402 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+)
+
+// copyHarness drives a cell whose runners start and stop what they are asked to.
+type copyHarness struct {
+	*cellHarness
+	// silent holds the agents that are lost, mute those whose runners ignore syncs.
+	silent map[string]bool
+	mute   map[string]bool
+	// started holds the agent that started each run.
+	started map[framer.RunRef]string
+	// rows holds the last progress that was committed of each job.
+	rows map[string]Progress
+}
+
+func newCopyHarness(t *testing.T, agents ...string) *copyHarness {
+	t.Helper()
+	h := &copyHarness{
+		cellHarness: newCellHarness(t, agents...),
+		silent:      map[string]bool{},
+		mute:        map[string]bool{},
+		started:     map[framer.RunRef]string{},
+		rows:        map[string]Progress{},
+	}
+	queues := testQueues()
+	queues.List[0].Terms.MaxFailures = 3
+	h.cell.SetQueues(queues)
+	return h
+}
+
+// pass lets time pass in steps of 100 ms.
+func (h *copyHarness) pass(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(step) {
+		h.cell.Tick(h.now, true)
+		for {
+			commit, ok := h.cell.Commit()
+			if !ok {
+				break
+			}
+			for _, row := range commit.Rows {
+				h.rows[row.ID] = row.Progress
+			}
+			h.cell.Committed(commit)
+		}
+		for agent, r := range h.runners {
+			r.ClockMillis += step.Milliseconds()
+			if !h.silent[agent] {
+				h.exchange(agent)
+			}
+		}
+	}
+}
+
+// exchange sends an agent a sync and handles its report.
+func (h *copyHarness) exchange(agent string) {
+	r := h.runners[agent]
+	sync := h.cell.Sync(h.now, agent, true)
+	if h.mute[agent] {
+		h.report(agent)
+		return
+	}
+	for _, start := range sync.Starts {
+		if !containsRun(r.Running, start.RunRef) {
+			h.started[start.RunRef] = agent
+			r.Running = append(r.Running, framer.RunStatus{
+				RunRef:  start.RunRef,
+				Percent: fullPercent,
+			})
+		}
+	}
+	for _, ref := range sync.Stops {
+		if containsRun(r.Running, ref) {
+			h.finish(agent, ref, framer.FinishStopped)
+		}
+	}
+	h.report(agent)
+}
+
+// end ends a run where it was started.
+func (h *copyHarness) end(ref framer.RunRef, reason framer.FinishReason) {
+	h.t.Helper()
+	assert.Assert(h.t, h.started[ref] != "", "%v never started", ref)
+	h.finish(h.started[ref], ref, reason)
+}
+
+// setProgress sets the percentages of all runs on an agent's runner.
+func (h *copyHarness) setProgress(agent string, percent int) {
+	for i := range h.runners[agent].Running {
+		h.runners[agent].Running[i].Percent = percent
+	}
+}
+
+func speculativeStep(count, processorMillis int) Step {
+	step := newStep(count, processorMillis)
+	step.Speculative = true
+	return step
+}
+
+// startPair starts a job of one task whose first run is late, so that it gets a copy.
+func (h *copyHarness) startPair() (first, second framer.RunRef) {
+	h.t.Helper()
+	h.add("j", "checks", speculativeStep(1, 1000))
+	h.pass(4 * time.Second)
+	first, second = runRef("j.0.0.0", 1), runRef("j.0.0.0", 2)
+	assert.Assert(h.t, h.started[first] != "" && h.started[second] != "", "started: %v", h.started)
+	assert.Assert(h.t, h.started[first] != h.started[second])
+	return first, second
+}
+
+func (h *copyHarness) assertCounts(started, won, lost int64) {
+	h.t.Helper()
+	n := h.cell.Counts
+	assert.DeepEqual(h.t, []int64{n.CopiesStarted, n.CopiesWon, n.CopiesLost}, []int64{started, won, lost})
+}
+
+// replaceOwner replaces the cell by one that knows only the committed rows.
+func (h *copyHarness) replaceOwner(spec Spec) {
+	h.cell = NewCell(Config{
+		Epoch:           2,
+		Assert:          strictAsserter(h.t),
+		Lease:           testLease,
+		FormerLeasesEnd: h.now.Add(testLease),
+	})
+	queues := testQueues()
+	queues.List[0].Terms.MaxFailures = 3
+	h.cell.SetQueues(queues)
+	data, err := cbor.Marshal(h.rows[spec.ID])
+	assert.NilError(h.t, err)
+	var p Progress
+	assert.NilError(h.t, cbor.Unmarshal(data, &p))
+	h.cell.Load(h.now, spec, p)
+}
+
+// Guards against a wide step that waits for its slowest task, and against an end of the other
+// run that changes the task.
+func TestStragglerInWideStepGetsCopy(t *testing.T) {
+	for _, reason := range []framer.FinishReason{framer.FinishStopped, framer.FinishFailed, framer.FinishDone} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b", "c")
+			h.add("j", "checks", speculativeStep(10, 1000))
+			h.pass(time.Second)
+			straggler := runRef("j.0.0.7", 1)
+			for ref := range h.started {
+				if ref != straggler {
+					h.end(ref, framer.FinishDone)
+				}
+			}
+			h.pass(time.Second)
+			h.assertCounts(1, 0, 0)
+			h.mute[h.started[straggler]] = true
+			h.end(runRef("j.0.0.7", 2), framer.FinishDone)
+			assert.Equal(t, h.state("j"), StateCompleted)
+			h.pass(200 * time.Millisecond)
+			h.end(straggler, reason)
+			assert.Equal(t, h.state("j"), StateCompleted)
+			h.pass(500 * time.Millisecond)
+			assert.Assert(t, !h.cell.HasJob("j"))
+			assert.Equal(t, len(h.started), 11)
+			h.assertCounts(1, 1, 0)
+		})
+	}
+}
+
+// Guards against copies that come only after the usual duration has passed.
+func TestSlowRunnerIsKnownByProgress(t *testing.T) {
+	h := newCopyHarness(t, "a", "b")
+	h.add("j", "checks", speculativeStep(1, 1000))
+	h.pass(200 * time.Millisecond)
+	slow := h.started[runRef("j.0.0.0", 1)]
+	for i := range 11 {
+		h.setProgress(slow, 1+i)
+		h.pass(100 * time.Millisecond)
+	}
+	h.assertCounts(1, 0, 0)
+}
+
+// Guards against a task that waits for the lease of a runner that does not answer.
+func TestTaskOfRunnerThatHangsGetsCopy(t *testing.T) {
+	h := newCopyHarness(t, "a", "b")
+	h.add("j", "checks", speculativeStep(1, 1000))
+	h.pass(200 * time.Millisecond)
+	h.silent[h.started[runRef("j.0.0.0", 1)]] = true
+	h.pass(4 * time.Second)
+	h.end(runRef("j.0.0.0", 2), framer.FinishDone)
+	assert.Equal(t, h.state("j"), StateCompleted)
+}
+
+// Guards against copies that take what is not free, or what a waiting task can use.
+func TestNoCopyWhileAllRunnersAreBusy(t *testing.T) {
+	h := newCopyHarness(t, "a", "b")
+	h.add("j", "checks", speculativeStep(8, 8000))
+	h.pass(300 * time.Millisecond)
+	h.add("k", "checks", newStep(1, 8000))
+	h.pass(4 * time.Second)
+	h.assertCounts(0, 0, 0)
+	h.end(runRef("j.0.0.0", 1), framer.FinishDone)
+	h.pass(300 * time.Millisecond)
+	h.assertCounts(0, 0, 0)
+	assert.Assert(t, h.started[runRef("k.0.0.0", 1)] != "")
+}
+
+// Guards against copies that crowd a service when many of its tasks are late.
+func TestManyTasksLateAtOnceStayWithinBudget(t *testing.T) {
+	h := newCopyHarness(t, "a", "b", "c", "d")
+	h.add("j", "checks", speculativeStep(40, 1000))
+	h.pass(6 * time.Second)
+	// 3 % of 128 processors.
+	h.assertCounts(3, 0, 0)
+	assert.Equal(t, h.cell.Counts.CopiesRefused, int64(37))
+}
+
+// Guards against second runs of tasks that must have one only.
+func TestOtherStepsGetNoCopy(t *testing.T) {
+	for name, change := range map[string]func(*Step){
+		"not speculative": func(s *Step) { s.Speculative = false },
+		"gang":            func(s *Step) { s.Gang = true },
+		"long-running":    func(s *Step) { s.LongRunning = true },
+		"best-effort":     func(s *Step) { s.BestEffort = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b")
+			step := speculativeStep(2, 1000)
+			change(&step)
+			h.add("j", "checks", step)
+			h.pass(6 * time.Second)
+			assert.Equal(t, len(h.started), 2)
+		})
+	}
+}
+
+// Guards against a start beside a run, and against a job that fails or starts again although
+// its queue says otherwise.
+func TestFailuresOfBothRunsCount(t *testing.T) {
+	h := newCopyHarness(t, "a", "b", "c")
+	first, second := h.startPair()
+	h.end(second, framer.FinishFailed)
+	h.pass(2 * time.Second)
+	assert.Equal(t, len(h.started), 2, "the task waits for its first run")
+	h.end(first, framer.FinishFailed)
+	h.pass(5 * time.Second)
+	third := runRef("j.0.0.0", 3)
+	assert.Equal(t, len(h.started), 3, "a copy of the last permitted start is none")
+	h.end(third, framer.FinishFailed)
+	assert.Equal(t, h.state("j"), StateFailed)
+	h.assertCounts(1, 0, 1)
+}
+
+// Guards against a job that goes on after its last permitted failure came from a copy.
+func TestLastFailureOfCopyWaitsForTheOtherRun(t *testing.T) {
+	for _, reason := range []framer.FinishReason{framer.FinishStopped, framer.FinishDone} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b")
+			first, second := h.startPair()
+			// The queue allows fewer failures from now on.
+			queues := testQueues()
+			queues.Version = 2
+			queues.List[0].Terms.MaxFailures = 1
+			h.cell.SetQueues(queues)
+			h.end(second, framer.FinishFailed)
+			assert.Equal(t, h.state("j"), StateRunning)
+			h.end(first, reason)
+			if reason == framer.FinishDone {
+				assert.Equal(t, h.state("j"), StateCompleted)
+			} else {
+				assert.Equal(t, h.state("j"), StateFailed)
+			}
+		})
+	}
+}
+
+// Guards against a copy that takes its task down with its instance, or starts it a third time.
+func TestInstanceOfOneRunIsLost(t *testing.T) {
+	for _, lost := range []int{1, 2} {
+		t.Run(fmt.Sprintf("run-%d", lost), func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b", "c")
+			h.startPair()
+			h.silent[h.started[runRef("j.0.0.0", lost)]] = true
+			if lost == 2 {
+				h.pass(15 * time.Second)
+				assert.Equal(t, len(h.started), 2)
+			} else {
+				// The copy is alone once the lease has expired, and may be late itself.
+				h.pass(8 * time.Second)
+				assert.Equal(t, h.cell.taskByName("j.0.0.0").run, 2)
+			}
+			h.end(runRef("j.0.0.0", 3-lost), framer.FinishDone)
+			assert.Equal(t, h.state("j"), StateCompleted)
+			h.pass(15 * time.Second)
+			assert.Assert(t, !h.cell.HasJob("j"))
+		})
+	}
+}
+
+// Guards against a new owner that does not know both runs, or gives a number twice.
+func TestNextOwnerKnowsBothRuns(t *testing.T) {
+	for _, done := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("done-%d", done), func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b", "c")
+			first, second := h.startPair()
+			if done == 0 {
+				h.end(second, framer.FinishFailed)
+				h.pass(200 * time.Millisecond)
+			}
+			h.replaceOwner(h.cell.jobs["j"].spec)
+			h.pass(300 * time.Millisecond)
+			assert.Equal(t, len(h.started), 2)
+			if done == 0 {
+				h.end(first, framer.FinishStopped)
+				h.pass(300 * time.Millisecond)
+				assert.Assert(t, h.started[runRef("j.0.0.0", 3)] != "")
+				return
+			}
+			h.end(runRef(first.Task, done), framer.FinishDone)
+			assert.Equal(t, h.state("j"), StateCompleted)
+			h.pass(time.Second)
+			assert.Equal(t, len(h.runners[h.started[first]].Running)+len(h.runners[h.started[second]].Running), 0)
+			assert.Assert(t, !h.cell.HasJob("j"))
+		})
+	}
+}
+
+// Guards against a cancelled job of which a run goes on.
+func TestCancellationStopsBothRuns(t *testing.T) {
+	h := newCopyHarness(t, "a", "b")
+	first, second := h.startPair()
+	h.cell.Cancel(h.now, "j")
+	h.pass(time.Second)
+	assert.Equal(t, len(h.runners[h.started[first]].Running)+len(h.runners[h.started[second]].Running), 0)
+	assert.Assert(t, !h.cell.HasJob("j"))
+}
+
+// Guards against a copy that starts after the end of its task was acknowledged.
+func TestEndIsAckedOnceTheCopyCannotStart(t *testing.T) {
+	h := newCopyHarness(t, "a", "b")
+	h.add("j", "checks", speculativeStep(1, 1000))
+	h.pass(200 * time.Millisecond)
+	first := runRef("j.0.0.0", 1)
+	other := map[string]string{"a": "b", "b": "a"}[h.started[first]]
+	h.mute[other] = true
+	h.pass(4 * time.Second)
+	h.assertCounts(1, 0, 0)
+	h.end(first, framer.FinishDone)
+	h.pass(time.Second)
+	assert.Equal(t, h.cell.Sync(h.now, h.started[first], true).AckedSequence, int64(0))
+	h.mute[other] = false
+	h.finish(other, runRef("j.0.0.0", 2), framer.FinishNeverStarted)
+	h.pass(300 * time.Millisecond)
+	assert.Equal(t, h.cell.Sync(h.now, h.started[first], true).AckedSequence, int64(1))
+}
+
+// Guards against rows of earlier versions that no longer decode, and rows over the limit.
+func TestRowsWithCopies(t *testing.T) {
+	t.Run("of an earlier version", func(t *testing.T) {
+		data, err := cbor.Marshal(map[string]any{
+			"state": "running",
+			"tasks": []any{[]any{false, 1, "i-a", 1000, 0, "", "10.0.0.1:80"}},
+		})
+		assert.NilError(t, err)
+		var p Progress
+		assert.NilError(t, cbor.Unmarshal(data, &p))
+		assert.Equal(t, p.Tasks[0].Run, 1)
+	})
+	t.Run("size", func(t *testing.T) {
+		p := Progress{
+			Copies: []CopyProgress{{
+				Task:                  5000,
+				Run:                   1000,
+				RunnerID:              "i-0123456789abcdef",
+				RunnerStartedAtMillis: 1 << 41,
+				Address:               "250.250.250.250:65535",
+			}, {
+				Task: 5000,
+				Run:  1000,
+			}},
+		}
+		data, err := cbor.Marshal(p)
+		assert.NilError(t, err)
+		assert.Assert(t, p.size()-rowHeaderBytes >= len(data)-rowHeaderBytes && p.size() > rowHeaderBytes+placedTaskBytes)
+		var none Progress
+		empty, err := cbor.Marshal(none)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data)-len(empty) <= p.size()-rowHeaderBytes+len("copies")+4)
+	})
+	t.Run("no room", func(t *testing.T) {
+		h := newCopyHarness(t, "a", "b")
+		h.add("j", "checks", speculativeStep(1, 1000))
+		h.cell.jobs["j"].maxPlaced = 2
+		h.pass(4 * time.Second)
+		h.assertCounts(0, 0, 0)
+	})
+}
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -29,7 +29,7 @@
 		return
 	}
 	// A run that is stopped in a later incarnation was counted with the first one.
-	runs := slices.DeleteFunc(s.placed(), func(t *task) bool { return !t.startSent || t.crashedRun == t.run })
+	runs := slices.DeleteFunc(s.placed(), func(t *task) bool { return !t.startSent || t.done || t.crashedRun == t.run })
 	if len(runs) == 0 {
 		return
 	}
@@ -40,7 +40,7 @@
 	var next *task
 	for _, t := range runs {
 		c.attributeCrash(now, t, n)
-		if t.record.suspect() && (next == nil || t.record.suspicion > next.record.suspicion) {
+		if t.record.suspect() && t.copy == nil && (next == nil || t.record.suspicion > next.record.suspicion) {
 			next = t
 		}
 	}
@@ -61,7 +61,7 @@
 func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
 	n := s.suspects()
 	for _, t := range lost {
-		if t.startSent && t.crashedRun != t.run {
+		if t.startSent && !t.done && t.crashedRun != t.run {
 			before := t.record
 			c.attributeCrash(now, t, n)
 			s.lapses = append(s.lapses, lapse{
--- a/pkg/scheduler/expiry.go
+++ b/pkg/scheduler/expiry.go
@@ -52,7 +52,7 @@
 // since the end.
 func (c *Cell) requireFor(s *runnerState, r framer.Report, e framer.FinishedRun) {
 	t := c.taskByName(e.Task)
-	if t == nil || e.Reason != framer.FinishDone || t.spec().LongRunning || t.done && e.Run == t.run {
+	if t == nil || e.Reason != framer.FinishDone || t.spec().LongRunning || t.done && (t.spec().mayHaveCopies() || e.Run == t.run) {
 		return
 	}
 	if s.expiry.due || s.expiry.proven || e.Sequence <= r.ExpiredSequence {
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -23,9 +23,15 @@
 		return
 	}
 	c.cfg.LogEvent("run finished", "task", e.Task, "run", e.Run, "runner", s.key.ID, "kind", e.Reason, "number", e.Sequence)
+	if t.done {
+		// Another run of the task was done before.
+		c.release(t)
+		return
+	}
 	if e.Reason != framer.FinishNeverStarted {
 		c.markBegun(t.job)
 	}
+	defer c.failExhausted(now, t)
 	switch e.Reason {
 	case framer.FinishDone:
 		c.runDone(now, s, t)
@@ -55,8 +61,11 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
-	c.release(t)
+	c.recordDuration(now, t)
+	c.recordWin(t)
 	c.markDone(t)
+	c.release(t)
+	c.stop(t.current)
 	if t.spec().Gang {
 		// One finished run completes the whole gang.
 		for _, member := range t.occurrence.steps[t.step] {
@@ -77,6 +86,10 @@
 		return
 	}
 	c.placementDue = true
+	if t.current.runner != nil {
+		t.job.placed--
+		t.job.extra++
+	}
 	t.done = true
 	t.job.unfinished--
 	t.occurrence.unfinished[t.step]--
@@ -95,7 +108,7 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
-	if t.failures >= c.terms(t.job).MaxFailures && !t.job.state.Final() {
+	if t.current.runner == nil && t.failures >= c.terms(t.job).MaxFailures && !t.job.state.Final() {
 		c.endJob(now, t.job, StateFailed)
 	}
 }
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -41,6 +41,9 @@
 	// TargetMillis is the target for the tail latency of latency-critical
 	// tasks, in milliseconds; zero means none.
 	TargetMillis float64 `cbor:"target-millis,omitempty"`
+	// Speculative means that a task may have a copy, that is, a second run at the same
+	// time; the first run that is done counts.
+	Speculative bool `cbor:"speculative,omitempty"`
 	// BestEffort means that the tasks use only processors that others leave
 	// idle.
 	BestEffort bool `cbor:"fills,omitempty"`
@@ -120,6 +123,18 @@
 	Address string
 }
 
+// CopyProgress is the copy of a task as the next owner must know it. If the copy has ended,
+// only its number remains, because the next run must have a higher one.
+type CopyProgress struct {
+	_ struct{} `cbor:",toarray"`
+	// Task is the index of the task in Progress.Tasks.
+	Task                  int
+	Run                   int
+	RunnerID              string
+	RunnerStartedAtMillis int64
+	Address               string
+}
+
 // Progress is the part of a job's state that must survive a change of the
 // cell's owner. Tasks are listed by occurrence, step and index.
 type Progress struct {
@@ -127,6 +142,8 @@
 	// Begun reports whether any run of the job has reached a runner.
 	Begun bool           `cbor:"begun,omitempty"`
 	Tasks []TaskProgress `cbor:"tasks,omitempty"`
+	// Copies lists the tasks that have a copy, or had one of the run in Tasks.
+	Copies []CopyProgress `cbor:"copies,omitempty"`
 	// Crashes holds the crashes of runners under each of the tasks, and Suspicions the
 	// evidence that its start causes them; both are empty if there are none.
 	Crashes    []byte `cbor:"crashes,omitempty"`
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -43,7 +43,7 @@
 			s.requireExpiry(now)
 		}
 		if t.runner == s {
-			c.loseRun(t, "lease expired")
+			c.loseRun(now, t, "lease expired")
 		}
 	}
 }
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -13,7 +13,7 @@
 		c.recordCrash(now, old)
 		// Calls to the former runner carry its id, so none of them takes effect
 		// on this one.
-		c.loseRuns(old, "another runner uses its address")
+		c.loseRuns(now, old, "another runner uses its address")
 		c.removeRunner(old)
 	}
 }
@@ -29,6 +29,7 @@
 			old.release(t)
 			s.bind(t)
 			t.stopping = true
+			t.moved = true
 			c.markChanged(t.job)
 		}
 	}
@@ -37,7 +38,7 @@
 			s.fences[ref] = struct{}{}
 		}
 	}
-	c.loseRuns(old, "runner restarted without runs")
+	c.loseRuns(now, old, "runner restarted without runs")
 	// A delayed call to the earlier incarnation may still reach this one, with
 	// a lease by the earlier incarnation's clock, which this one shortens to the
 	// longest that it grants. A higher epoch makes this one reject such calls.
@@ -48,17 +49,18 @@
 }
 
 // loseRuns releases all tasks of a runner that provably runs none of them.
-func (c *Cell) loseRuns(s *runnerState, why string) {
+func (c *Cell) loseRuns(now time.Time, s *runnerState, why string) {
 	for _, t := range s.placed() {
-		c.loseRun(t, why)
+		c.loseRun(now, t, why)
 	}
 }
 
-func (c *Cell) loseRun(t *task, why string) {
+func (c *Cell) loseRun(now time.Time, t *task, why string) {
 	c.Counts.Lost++
 	s := t.runner
 	c.cfg.LogEvent("run lost", "task", t.name(), "run", t.run, "runner", s.key.ID, "why", why,
 		"start-sent", t.startSent, "confirmed", t.confirmed, "listed", t.listed,
 		"lease-until-millis", s.grantedUntilMillis, "clock-millis", s.clockMillis)
 	c.release(t)
+	c.failExhausted(now, t)
 }
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -71,7 +71,7 @@
 		if !t.pending(now) {
 			continue
 		}
-		if w.job.placed >= w.job.maxPlaced {
+		if w.job.rowRoom() < 1 {
 			return
 		}
 		s := c.chooseRunner(now, w, t, nil)
@@ -232,12 +232,16 @@
 
 // start assigns a task to a runner under a new run number.
 func (c *Cell) start(now time.Time, s *runnerState, t *task) {
-	t.run++
+	t.lastRun = max(t.lastRun, t.run) + 1
+	t.run = t.lastRun
+	t.placedAt = now
+	t.known = true
 	t.job.state = StateRunning
 	c.Counts.Starts++
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
 		"free-millis", s.free().ProcessorMillis, "report-age-millis", now.Sub(s.listedAt).Milliseconds(), "queues-version", c.queues.Version)
 	c.bind(s, t)
+	c.watchForCopies(t)
 	if t.record.suspect() {
 		s.beginTrial(now, t)
 	}
@@ -257,7 +261,7 @@
 		}
 		run = max(run, t.run)
 	}
-	if w.job.placed+len(members) > w.job.maxPlaced {
+	if w.job.rowRoom() < len(members) {
 		return
 	}
 	if change := c.fullUpTo(w); change > 0 && change == c.index.change && !c.anyProbe(now, w) {
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -52,7 +52,7 @@
 			j = t.job
 		}
 		c.runFinished(now, s, r, e)
-		s.recordFinished(e.Sequence, c.change, j)
+		s.recordFinished(e.Sequence, c.change, j, c.unsettledRun(e))
 	}
 	if listed {
 		c.stopMissing(now, s)
@@ -114,13 +114,13 @@
 }
 
 // currentTask returns the task of a run, or nil unless the run is the task's
-// current one and placed on the runner.
+// current one, or its copy, and placed on the runner.
 func (c *Cell) currentTask(s *runnerState, ref framer.RunRef) *task {
 	t := c.taskByName(ref.Task)
-	if t == nil || t.runner != s || t.run != ref.Run {
+	if t == nil {
 		return nil
 	}
-	return t
+	return t.runOn(s, ref.Run)
 }
 
 func (c *Cell) taskByName(name string) *task {
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -55,5 +55,11 @@
 			size += placedTaskBytes
 		}
 	}
+	for i := range p.Copies {
+		size += idleTaskBytes
+		if p.Copies[i].RunnerID != "" {
+			size += placedTaskBytes
+		}
+	}
 	return size
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -127,11 +127,14 @@
 	change   uint64
 	// job is the job of the run, or nil if the cell does not have it.
 	job *job
+	// unsettled is the other run of the task while it may still start.
+	unsettled unsettledRun
 }
 
-// committed reports whether the row that records the finished run is committed.
+// committed reports whether the row that records the finished run is committed, and no
+// other run of its task can start.
 func (p *pendingFinish) committed(change uint64) bool {
-	return p.change <= change && (p.job == nil || !p.job.rejected)
+	return p.change <= change && (p.job == nil || !p.job.rejected) && !p.unsettled.mayStart()
 }
 
 func newRunnerState(key framer.RunnerKey, leaseEnd time.Time, index *runnerIndex, syncs *syncQueue) *runnerState {
@@ -282,13 +285,15 @@
 
 // recordFinished records that a finished run was processed, and the change that
 // must be committed before it is acknowledged.
-func (s *runnerState) recordFinished(sequence int64, change uint64, j *job) {
+func (s *runnerState) recordFinished(sequence int64, change uint64, j *job, unsettled unsettledRun) {
 	if sequence > s.recordedSequence {
 		s.recordedSequence = sequence
 		s.unacked = append(s.unacked, pendingFinish{
 			sequence: sequence,
 			change:   change,
 			job:      j,
+
+			unsettled: unsettled,
 		})
 	}
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/speculator"
 )
 
 // job is the scheduling state of a job.
@@ -20,9 +21,13 @@
 	occurrences []*occurrence
 	// unfinished counts the tasks that are not done.
 	unfinished int
-	// placed counts the tasks that are placed on a runner.
+	// placed counts the tasks that are placed on a runner and not done. extra counts the
+	// other runs that are placed: copies, and runs that are left of tasks that are done.
 	placed int
-	// maxPlaced limits placed.
+	extra  int
+	// listedCopies counts the tasks with an entry in Progress.Copies.
+	listedCopies int
+	// maxPlaced limits placed, extra and listedCopies together.
 	maxPlaced int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
@@ -52,28 +57,58 @@
 	unfinished []int
 	// full records for each step that no runner could hold its tasks.
 	full []fullRunners
+	// durations has the durations of the finished runs of each speculative step.
+	durations []speculator.History
 }
 
-// task is one task of an occurrence.
-type task struct {
+// taskState is what all runs of a task of an occurrence share.
+type taskState struct {
 	job        *job
 	occurrence *occurrence
 	step       int
 	index      int
+	// current is the task's run, or where its next one will be. copy is a second run of
+	// a speculative task, which becomes the current one if that ends first; it is nil
+	// if there is none.
+	current *task
+	copy    *task
+	// lastRun is the highest run number so far.
+	lastRun int
+	// copyable is set while the task is in the cell's list of that name, listedCopy
+	// while it has an entry in Progress.Copies.
+	copyable   bool
+	listedCopy bool
+	// refusedRun is the last run that got no copy because of the budget.
+	refusedRun int
 
 	done       bool
-	run        int
 	failures   int
 	checkpoint string
-	// record is what speaks for that the task crashes its runners, and crashedRun the
-	// last run that was counted in it.
-	record     crashRecord
-	crashedRun int
+	// record is what speaks for that the task crashes its runners.
+	record crashRecord
 	// crashedAt lists the addresses of the runners that crashed under the task, as far
 	// as this owner knows.
 	crashedAt []string
 	// trialRunner is the runner that is, or was last, kept free for the task's trial.
 	trialRunner *runnerState
+	// notBefore is the earliest time of the next start. It delays long-running
+	// tasks, so that one that exits at once is not restarted too often, and those
+	// that are suspected of crashing runners.
+	notBefore time.Time
+	// avoid lists the runners on which the task failed or stalled.
+	avoid []string
+	// waitingSince is since when the task should run and does not, to within
+	// waitSweepInterval; it is zero while the task runs.
+	waitingSince time.Time
+}
+
+// task is a task of an occurrence and its present run, or its copy.
+type task struct {
+	*taskState
+
+	run int
+	// crashedRun is the last run that was counted in the crash record.
+	crashedRun int
 	// runner is where the current run is, or may be; it is nil while the task
 	// waits.
 	runner *runnerState
@@ -105,15 +140,17 @@
 	progressRun int
 	// stopping is set while a stop is requested for the run.
 	stopping bool
-	// notBefore is the earliest time of the next start. It delays long-running
-	// tasks, so that one that exits at once is not restarted too often, and those
-	// that are suspected of crashing runners.
-	notBefore time.Time
-	// avoid lists the runners on which the task failed or stalled.
-	avoid []string
-	// waitingSince is since when the task should run and does not, to within
-	// waitSweepInterval; it is zero while the task runs.
-	waitingSince time.Time
+	// placedAt is when the run was placed, or when this owner read that it was; known is
+	// set in the first case.
+	placedAt time.Time
+	known    bool
+	// copyOf is the run of which this one was started as a copy; 0 if it was not.
+	copyOf int
+	// copyService is the service whose budget for copies the run uses; empty if none.
+	copyService string
+	// moved is set once the run may be in a later incarnation of its runner than the
+	// one that listed it.
+	moved bool
 }
 
 func (t *task) spec() *Step {
@@ -140,6 +177,14 @@
 	)
 }
 
+func newTask(state taskState) *task {
+	t := &task{
+		taskState: &state,
+	}
+	state.current = t
+	return t
+}
+
 func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
 		spec:      spec,
@@ -157,16 +202,18 @@
 			index: k,
 			dueAt: due,
 			full:  make([]fullRunners, len(spec.Steps)),
+
+			durations: make([]speculator.History, len(spec.Steps)),
 		}
 		for number, step := range spec.Steps {
 			tasks := make([]*task, step.Count)
 			for i := range tasks {
-				tasks[i] = &task{
+				tasks[i] = newTask(taskState{
 					job:        j,
 					occurrence: r,
 					step:       number,
 					index:      i,
-				}
+				})
 			}
 			j.unfinished += step.Count
 			r.steps = append(r.steps, tasks)
@@ -242,7 +289,7 @@
 	if !j.endedAt.IsZero() {
 		p.EndedAtMillis = j.endedAt.UnixMilli()
 	}
-	if j.state.Final() && j.placed == 0 {
+	if j.ended() {
 		return p
 	}
 	tasks := j.tasks()
@@ -265,6 +312,9 @@
 			row.Address = t.runner.info.Address
 		}
 		p.Tasks = append(p.Tasks, row)
+		if t.listedCopy {
+			p.Copies = append(p.Copies, t.copyProgress(i))
+		}
 	}
 	return p
 }
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -172,6 +172,9 @@
 			continue
 		}
 		cause := t.waitCause(now)
+		if t.copy != nil && t.copy.waitCause(now) == causeNone {
+			cause = causeNone
+		}
 		switch {
 		case cause == causeNone:
 			if !t.waitingSince.IsZero() {
