--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -48,6 +48,10 @@
 	// reportProgress makes the runners list the progress of their runs.
 	reportProgress bool
 	log            []string
+	// speculative makes all steps of submitted jobs speculative; pairs counts the
+	// starts beside another run of the same task.
+	speculative bool
+	pairs       int
 
 	// The store's state: specs, cancellations and progress by job, and the
 	// owner's epoch.
@@ -156,8 +160,13 @@
 	needs := publisher.Resources{
 		ProcessorMillis: 500 + sim.rnd.Int64N(2000),
 	}
+	if sim.speculative && n%4 > 0 {
+		// The budget allows several copies of small tasks.
+		needs.ProcessorMillis /= 8
+	}
 	for i := range steps {
 		steps[i].Needs = needs
+		steps[i].Speculative = sim.speculative
 	}
 	spec := scheduler.Spec{
 		ID:               fmt.Sprintf("job%d", n),
