scheduler: reject a second copy of one task in a row

Cause: a malformed row with two entries for one task would leave a run that no task refers to. Runners whose failure domain is not known counted as being in the same one, so each choice for a copy looked at all runners.

Change: the second entry breaks the assertion copy-fits-job and is skipped. Unknown domains don't count.

The tests of copies in ./pkg/scheduler pass.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -230,7 +230,7 @@
 		}, row.Address)
 	}
 	for _, row := range p.Copies {
-		c.loadCopy(seenAt, tasks, row)
+		c.loadCopy(seenAt, j, tasks, row)
 	}
 }
 
--- a/pkg/scheduler/copies.go
+++ b/pkg/scheduler/copies.go
@@ -183,7 +183,7 @@
 		if penalty > penaltyOtherRack {
 			continue
 		}
-		if s.info.FailureDomain == t.runner.info.FailureDomain {
+		if domain := s.info.FailureDomain; domain != "" && domain == t.runner.info.FailureDomain {
 			penalty += 2 * penaltyOtherRack
 		}
 		if penalty == 0 {
--- a/pkg/scheduler/second_run.go
+++ b/pkg/scheduler/second_run.go
@@ -117,8 +117,9 @@
 }
 
 // loadCopy restores the copy of a task.
-func (c *Cell) loadCopy(seenAt time.Time, tasks []*task, row CopyProgress) {
-	if !c.cfg.Assert.Holds(row.Task >= 0 && row.Task < len(tasks) && row.Run > tasks[row.Task].run, "copy-fits-job") {
+func (c *Cell) loadCopy(seenAt time.Time, j *job, tasks []*task, row CopyProgress) {
+	fits := row.Task >= 0 && row.Task < len(tasks) && row.Run > tasks[row.Task].run && tasks[row.Task].copy == nil
+	if !c.cfg.Assert.Holds(fits, "copy-fits-job", "job", j.spec.ID) {
 		return
 	}
 	t := tasks[row.Task]
