scheduler: starts of finite tasks wait for the epoch that fences a restarted runner

Cause: a runner restarts under its id, and the owner raises its epoch so that the later incarnation rejects delayed calls for the earlier one. A start that was sent before that could run and end there, and a delayed acknowledgement for the earlier incarnation, whose numbers the later one counts anew, dropped the end. The agent then reported the run as never started, and the task ran again. The trace of the test shows the start in the sync under the old epoch, and run 2 after the end was dropped.

Ruled out: that the agent sends the earlier incarnation's acknowledgement to the later one (its state is reset), and that a listing under the higher epoch must come first: the start itself is a call under that epoch, after which earlier ones are rejected.

Change: a start of a finite task is sent to a restarted runner only under the raised epoch, which the same write sets that commits the placement. A long-running task runs again after any end, so its start does not wait. Two tests that restart a runner now raise the epoch as the owner does with that write.

TestDelayedAckToFormerIncarnationDropsNoEnd failed before (runs 1 and 2) and passes: go test ./pkg/scheduler. Guard: finite-starts-wait-for-the-higher-epoch.

--- a/pkg/scheduler/incarnations_test.go
+++ b/pkg/scheduler/incarnations_test.go
@@ -69,6 +69,7 @@
 	r.Running = nil
 	h.report("x")
 	h.tickUntilIdle()
+	h.cell.SetEpoch(2)
 	sync := h.cell.Sync(h.now, "x", true)
 	assert.DeepEqual(t, sync.Stops, []framer.RunRef{runRef("k.0.0.0", 1)})
 	assert.Equal(t, len(sync.Starts), 1)
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -65,7 +65,7 @@
 func (c *Cell) starts(now time.Time, s *runnerState) []framer.RunStart {
 	var unconfirmed []*task
 	for t := range s.tasks {
-		if !t.stopping && !t.confirmed && t.committedRun == t.run {
+		if !t.stopping && !t.confirmed && t.committedRun == t.run && c.keepsEnd(s, t) {
 			unconfirmed = append(unconfirmed, t)
 		}
 	}
@@ -93,6 +93,14 @@
 	return starts
 }
 
+// keepsEnd reports whether no delayed call can drop the end of a run that is started now. An
+// acknowledgement to an earlier incarnation may be carried out by the one that started under
+// its id, until a call of a higher epoch has reached that one. The start is such a call once
+// the epoch is raised. A long-running task runs again after any end, so it need not wait.
+func (c *Cell) keepsEnd(s *runnerState, t *task) bool {
+	return c.cfg.Epoch >= s.fenceEpoch || t.spec().LongRunning
+}
+
 // sentFirst ranks the tasks whose start was sent before those whose start was not.
 func sentFirst(t *task) int {
 	if t.startSent {
--- a/pkg/scheduler/unproven_end_test.go
+++ b/pkg/scheduler/unproven_end_test.go
@@ -128,6 +128,7 @@
 	h.report("a")
 	h.add("j", "checks", newStep(1, 500))
 	h.tickUntilIdle()
+	h.cell.SetEpoch(2)
 	assert.Equal(t, len(h.acceptStarts("a")), 1)
 	until := h.grantedUntil("a")
 	delete(h.runners, "a")
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -224,5 +224,6 @@
 guard limits-of-earlier-agent-are-unknown pkg/supervisor/throttler.go 's/case !known \&\& !t.listed:/case false:/' pkg/supervisor TestNewAgentSetsTheSpeedLimitsOfEarlierRuns
 guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
+guard finite-starts-wait-for-the-higher-epoch pkg/scheduler/sync.go 's/c.cfg.Epoch >= s.fenceEpoch \|\| //; s/return t.spec\(\).LongRunning$/return true/' pkg/scheduler TestDelayedAckToFormerIncarnationDropsNoEnd
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
