scheduler: a job's row states the runs that were released because of a lease

Cause: an owner released a run because the lease of its runner had expired. Its successor met the run's end, a failure, found that the run is not the current one, and acknowledged it at once: it could not tell it from a failure that was counted before the change of owner. So the failure was neither counted nor kept until the lease had expired by the runner's clock, as the owner that releases the run does.

Ruled out: to require the proof for every failed end that is not current. A failure that was counted just before the owner was lost is listed again as well, and its sound runner would lose its lease. To count it for the next owner: the same owner does not count it either, as the end of an expired lease is void.

TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner failed before (1 acknowledged, 0 failures) and passes: go test ./pkg/scheduler. Guards: released-runs-are-stored, uncounted-failure-needs-proof, released-runs-without-room-are-unknown.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -226,6 +226,7 @@
 		}
 		s.bind(t)
 	}
+	p.loadReleased(tasks)
 }
 
 // runner returns the state of one runner incarnation and creates it if it is
--- a/pkg/scheduler/expiry.go
+++ b/pkg/scheduler/expiry.go
@@ -47,12 +47,15 @@
 }
 
 // requireFor requires the proof for a finished run that is not its task's current one, if the
-// run was done and the task is to run again or does: the run was released without the
-// runner's word, perhaps by a former owner. The agent may know that the lease has expired
+// run was done and the task is to run again or does, or if it failed and that was not counted:
+// the run was released without the runner's word, perhaps by a former owner. The agent may know that the lease has expired
 // since the end.
 func (c *Cell) requireFor(s *runnerState, r framer.Report, e framer.FinishedRun) {
 	t := c.taskByName(e.Task)
-	if t == nil || e.Reason != framer.FinishDone || t.spec().LongRunning || t.done && e.Run == t.run {
+	if t == nil || t.spec().LongRunning || t.done && e.Run == t.run {
+		return
+	}
+	if e.Reason != framer.FinishDone && !t.failedUncounted(e) {
 		return
 	}
 	if s.expiry.due || s.expiry.proven || e.Sequence <= r.ExpiredSequence {
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -131,6 +131,10 @@
 	// evidence that its start causes them; both are empty if there are none.
 	Crashes    []byte `cbor:"crashes,omitempty"`
 	Suspicions []byte `cbor:"suspicions,omitempty"`
+	// Released lists the tasks with released runs, by index. MoreReleased is set if others
+	// after them have some too.
+	Released     []ReleasedRuns `cbor:"released,omitempty"`
+	MoreReleased bool           `cbor:"more-released,omitempty"`
 	// EndedAtMillis is when the job reached a final state, in milliseconds
 	// since 1970.
 	EndedAtMillis int64 `cbor:"ended-at-millis,omitempty"`
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -41,6 +41,7 @@
 	for _, t := range lost {
 		if t.startSent {
 			s.requireExpiry(now)
+			t.recordReleased()
 		}
 		if t.runner == s {
 			c.loseRun(t, "lease expired")
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -69,6 +69,8 @@
 	// last run that was counted in it.
 	record     crashRecord
 	crashedRun int
+	// released are the runs that were released because of an expired lease.
+	released releasedRuns
 	// crashedAt lists the addresses of the runners that crashed under the task, as far
 	// as this owner knows.
 	crashedAt []string
@@ -250,6 +252,7 @@
 		if t.record != (crashRecord{}) {
 			p.recordCrashes(i, len(tasks), t.record)
 		}
+		p.recordReleased(i, t)
 		row := TaskProgress{
 			Done:       t.done,
 			Run:        t.run,
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -225,5 +225,8 @@
 guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard finite-starts-wait-for-the-higher-epoch pkg/scheduler/sync.go 's/c.cfg.Epoch >= s.fenceEpoch \|\| //; s/return t.spec\(\).LongRunning$/return true/' pkg/scheduler TestDelayedAckToFormerIncarnationDropsNoEnd
+guard released-runs-are-stored pkg/scheduler/cell.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
+guard uncounted-failure-needs-proof pkg/scheduler/expiry.go 's/ \&\& !t.failedUncounted\(e\)//' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
+guard released-runs-without-room-are-unknown pkg/scheduler/released_runs.go 's/t.released.upTo = t.run$/_ = t/' pkg/scheduler TestReleasedRunsAreStored
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
