scheduler: the wait for delayed calls ends with the latest lease that they can state

Cause: a runner restarted under its id, and was lost before it listed its runs under the raised epoch. Its tasks waited for 12 s and the longest lease, since a delayed call for the earlier incarnation may grant the later one a lease until then. But a call names the end of a lease as a time on the runner's clock, and the owner knows the latest one that it granted the earlier incarnation. In the trace of the test the owner had granted none, and the clock went on: nothing to wait for beside the runner's own lease.

Ruled out: to start the task only once the runner is fenced, which keeps a long-running task waiting in the usual case; to shorten the wait for the fence, which is not the cause (12 s are the delay of a call).

Change: Cell.expectDelayedCalls notes the latest end of a lease that calls to earlier incarnations can state: what this owner granted, what the agent knows of, and what a former owner may have granted until FormerLeasesEnd; of incarnations before that one while calls to them may arrive. With each reading of the present incarnation's clock the wait is limited to that.

Two tests that expect the longest wait (TestLeaseOfRestartedRunner and TestLeaseRowStatesLeasesOfDelayedCalls) had an earlier incarnation whose leases ended seconds ahead by the next one's clock, so that no call could grant what they waited for. Their earlier clock is now an hour ahead; what they check is unchanged.

--- a/pkg/controller/delayed_lease_test.go
+++ b/pkg/controller/delayed_lease_test.go
@@ -37,7 +37,8 @@
 	}
 	e.owner.formerLeasesEnd = h.now
 	h.now = h.now.Add(20 * time.Second)
-	report(h.now.UnixMilli()-1000, e.owner.lease.Epoch())
+	// By the clock of the next incarnation, the leases of this one end in an hour.
+	report(h.now.Add(-time.Hour).UnixMilli(), e.owner.lease.Epoch())
 	report(h.now.UnixMilli()-10, 0)
 	assert.Assert(t, e.owner.cell.EpochRaiseDue())
 	e.manageCell(h.now)
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -240,6 +240,8 @@
 			// Once the runner has listed its runs under this owner's epoch, it
 			// rejects the calls of earlier ones.
 			s.delayedLeaseEnd = end
+			s.delayedUntilMillis = unknownLease
+			s.delayedCallsEnd = end
 			s.fenceEpoch = c.cfg.Epoch
 			delete(c.cfg.DelayedLeases, key.ID)
 		}
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -36,8 +36,10 @@
 	restart := func(t *testing.T) *cellHarness {
 		h := newCellHarness(t, "a")
 		h.cell.cfg.LongestLease = longestLease
-		h.advance(time.Second)
 		r := h.runners["a"]
+		// By the clock of the next incarnation, the leases of this one end in an hour.
+		r.ClockMillis = time.Hour.Milliseconds()
+		h.advance(time.Second)
 		r.Runner.Key.StartedAtMillis++
 		r.ClockMillis = 0
 		h.report("a")
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -41,7 +41,7 @@
 	// A delayed call to the earlier incarnation may still reach this one, with
 	// a lease by the earlier incarnation's clock, which this one shortens to the
 	// longest that it grants. A higher epoch makes this one reject such calls.
-	s.delayedLeaseEnd = now.Add(maxCallDelay + MaxLease(c.cfg.LongestLease))
+	c.expectDelayedCalls(now, s, old)
 	s.fenceEpoch = c.cfg.Epoch + 1
 	c.requiredEpoch = s.fenceEpoch
 	c.removeRunner(old)
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -21,6 +21,7 @@
 	}
 	c.proveExpiry(s, r)
 	c.recordFence(now, s, r)
+	s.limitDelayedLease()
 	s.setUnanswered(now, r.Unanswered)
 	listed := s.recordListing(now, r)
 	if c.renewalDue(now, s) {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -57,8 +57,12 @@
 	// the runner has answered such a call.
 	delayedLeaseEnd time.Time
 	fenceEpoch      uint64
-	tasks           map[*task]struct{}
-	allocated       publisher.Resources
+	// delayedUntilMillis is the latest end of such a lease that the call can state, by
+	// this incarnation's clock. Such calls arrive until delayedCallsEnd.
+	delayedUntilMillis int64
+	delayedCallsEnd    time.Time
+	tasks              map[*task]struct{}
+	allocated          publisher.Resources
 	// bestEffortMillis and latencyCriticalMillis are the processors that tasks
 	// of the two kinds request, in thousandths of one.
 	bestEffortMillis      int64
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -228,5 +228,8 @@
 guard released-runs-are-stored pkg/scheduler/cell.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
 guard uncounted-failure-needs-proof pkg/scheduler/expiry.go 's/ \&\& !t.failedUncounted\(e\)//' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
 guard released-runs-without-room-are-unknown pkg/scheduler/released_runs.go 's/t.released.upTo = t.run$/_ = t/' pkg/scheduler TestReleasedRunsAreStored
+guard delayed-calls-state-their-leases pkg/scheduler/report.go '/^\ts.limitDelayedLease\(\)$/d' pkg/scheduler TestTaskOfRunnerThatIsLostBeforeItIsFenced
+guard former-owner-may-have-stated-later-leases pkg/scheduler/delayed_lease.go 's/former := max.*/former := 0*time.Second/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
+guard calls-to-any-earlier-incarnation-count pkg/scheduler/delayed_lease.go 's/if now.Before\(old.delayedCallsEnd\) \{/if false {/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
