red-first: three guards of leases change the code again

The expressions of lost-runner-waits-for-its-lease, delayed-calls-grant-leases and expired-runners-are-remembered changed nothing since the end of a run moved to Cell.runEnd and forgettable: scripts/red-first.sh NAME said stale for each on. Now each is red.

--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -88,7 +88,7 @@
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
 guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/lost_runner.go 's/\(!t.listed \|\| old.startMayArrive\(now, t.ref\(\)\)\)/false/' $simulation $steps
-guard lost-runner-waits-for-its-lease pkg/scheduler/leases.go 's/if !now.After\(s.leaseEnd\) .*\{/if s.agent != "" {/' pkg/scheduler TestLostRunner
+guard lost-runner-waits-for-its-lease pkg/scheduler/leases.go 's/maxTime\(s.leaseEnd, s.delayedLeaseEnd\)/now.Add(-time.Second)/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
 guard prediction-error-is-limited pkg/scheduler/interference.go 's/maxResidual = .*/maxResidual = 50/' pkg/scheduler TestOutliersChangeModelLittle
 guard stalled-runners-are-quarantined pkg/scheduler/progress.go 's/s.stalled = true/s.stalled = false/' pkg/scheduler TestStalledRunnerIsQuarantined
@@ -115,14 +115,14 @@
 guard former-owner-may-grant-longer-leases pkg/controller/runner_leases.go 's/return longest$/return time.Second/' pkg/controller TestFormerLeasesEndCoversLastGrant
 guard restart-time-limits-leases pkg/controller/runner_leases.go 's/return min\(time.Duration\(cfg.LongestLease\), .*/return time.Duration(cfg.LongestLease)/' pkg/controller TestTasksOfLostRunnerRunAgainInTime
 guard placement-extends-no-lease pkg/scheduler/placing.go 's/s.clockAt.Add\(c.maxLease/now.Add(c.maxLease/' pkg/scheduler TestPlacementDoesNotExtendLeaseOfLostRunner
-guard delayed-calls-grant-leases pkg/scheduler/leases.go 's/ \|\| !now.After\(s.delayedLeaseEnd\)//' pkg/scheduler TestLeaseOfRestartedRunner
+guard delayed-calls-grant-leases pkg/scheduler/leases.go 's/maxTime\(s.leaseEnd, s.delayedLeaseEnd\)/s.leaseEnd/' pkg/scheduler TestLeaseOfRestartedRunner
 guard higher-epoch-ends-the-wait pkg/scheduler/leases.go 's/r.ListedEpoch < s.fenceEpoch/true/' pkg/scheduler TestLeaseOfRestartedRunner
 guard listing-of-an-earlier-epoch-proves-nothing pkg/scheduler/leases.go 's/ \|\| r.ListedEpoch < s.fenceEpoch//' pkg/scheduler TestLeaseOfRestartedRunner
 guard unanswering-runner-gets-no-task pkg/scheduler/refusal.go 's/case s.unanswered:/case false:/' pkg/scheduler TestUnansweringRunnerGetsNoTask
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/ends = e.owner.cell.DelayedLeases.now./_ = now/' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
 guard next-owner-waits-for-delayed-leases pkg/scheduler/cell.go 's/s.delayedLeaseEnd = end$/_ = end/' pkg/scheduler TestNextOwnerWaitsForDelayedLeases
-guard expired-runners-are-remembered pkg/scheduler/leases.go 's/ \&\& now.Sub\(s.leaseEnd\) > maxCallDelay//' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
+guard expired-runners-are-remembered pkg/scheduler/expiry.go 's/now.Sub\(s.leaseEnd\) > ttl/true/' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
 guard lease-counts-from-first-attempt pkg/controller/owner.go 's/w.sentAt = w.firstSentAt//' pkg/controller TestLeaseOfResentWriteCountsFromFirstAttempt
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
