--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -122,7 +122,7 @@
 guard one-lost-answer-is-not-reported pkg/supervisor/core.go 's/maxUnansweredRenewals = 2/maxUnansweredRenewals = 1/' pkg/supervisor TestUnansweringRunnerIsReportedAtOnce
 guard delayed-leases-are-stated pkg/controller/runner_leases.go 's/ends = e.owner.cell.DelayedLeases.now./_ = now/' pkg/controller TestLeaseRowStatesLeasesOfDelayedCalls
 guard next-owner-waits-for-delayed-leases pkg/scheduler/cell.go 's/s.delayedLeaseEnd = end$/_ = end/' pkg/scheduler TestNextOwnerWaitsForDelayedLeases
-guard expired-runners-are-remembered pkg/scheduler/expiry.go 's/now.Sub\(s.leaseEnd\) > ttl/true/' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
+guard expired-runners-are-remembered pkg/scheduler/expiry.go 's/now.Sub\(s.leaseEnd\) > ttl/now.Sub(s.leaseEnd) > 0*ttl/' pkg/scheduler TestDelayedCallsToForgottenRunnerAreFenced
 guard lease-counts-from-first-attempt pkg/controller/owner.go 's/w.sentAt = w.firstSentAt//' pkg/controller TestLeaseOfResentWriteCountsFromFirstAttempt
 guard delayed-leave-notice-is-ignored pkg/supervisor/heartbeat.go 's/ \&\& c.runner.Draining \{/ {/' pkg/supervisor TestDelayedLeaveNoticeOfEarlierIncarnationIsIgnored
 guard malformed-rows-prove-no-absence pkg/supervisor/listing.go 's/ \|\| len\(l.Malformed\) > 0//' pkg/supervisor TestListingWithMalformedRowsResolvesNoStop
