scheduler, supervisor: a runner that heartbeats claim to be replaced is not watched

Cause: a runner restarted under its id, accepted a start that was requested of its earlier incarnation, and its responses were lost for 8 s. The agent reported all the while, and had not taken over the later incarnation, which had answered no call. So the owner held that an agent that is there would have seen a later incarnation (runEnd), gave the run up by the lease of the earlier one, and started it elsewhere while the first was running, or after its end. The agent knew better: heartbeats named the later incarnation, and it sent no start meanwhile.

Ruled out: a lease that is longer than granted (the run is gone by the longest one), and the answer to the start as evidence, which does not name the incarnation.

Change: a report states whether heartbeats claim another incarnation under the runner's id. A start whose run is not listed and that was sent before the last such report waits for the longest lease, as it does if the agent may be gone. A foreign heartbeat costs that only if it arrives between a start and its listing, and the runner is lost then.

Left: if the heartbeats are lost as well, it looks like a runner that was lost just after the start; an answer to a start with the start time of the runner would tell.

go test ./pkg/experimenter -run TestAcceptedStartMayHaveReachedLaterIncarnation failed before (TWICE) and passes. Guards: claimed-runner-is-not-watched, claims-are-reported.

--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -138,6 +138,9 @@
 	ListingAgeMillis int64 `cbor:"age-millis,omitempty"`
 	// Unanswered is set while the runner does not answer requests for a listing.
 	Unanswered bool `cbor:"unanswered,omitempty"`
+	// Claimed is set while heartbeats name another incarnation under the runner's id that
+	// has not answered a call yet. A start may have reached that one.
+	Claimed bool `cbor:"claimed,omitempty"`
 	// ListedEpoch is the epoch of the call that the last listing answered. The
 	// runner carries out no call of an earlier epoch after that.
 	ListedEpoch uint64 `cbor:"listed-epoch,omitempty"`
--- a/pkg/scheduler/leases.go
+++ b/pkg/scheduler/leases.go
@@ -63,10 +63,12 @@
 }
 
 // watchedSince reports whether the agent to which this owner sent the start of a run has
-// reported to it without interruption since then, and has seen no later incarnation.
+// reported to it without interruption since then, and has seen no later incarnation, not
+// even one that only heartbeats name: its responses may be lost.
 func (s *runnerState) watchedSince(now time.Time, ref framer.RunRef) bool {
 	sentAt, sent := s.startsSent[ref]
-	return sent && s.agent != "" && !sentAt.Before(s.linkedAt) && now.Sub(s.reportedAt) <= listingTTL
+	unclaimed := s.claimedAt.Before(sentAt)
+	return sent && unclaimed && s.agent != "" && !sentAt.Before(s.linkedAt) && now.Sub(s.reportedAt) <= listingTTL
 }
 
 // DelayedLeases returns when the last lease expires that a delayed call for an
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -23,6 +23,9 @@
 	c.recordFence(now, s, r)
 	s.limitDelayedLease()
 	s.setUnanswered(now, r.Unanswered)
+	if r.Claimed {
+		s.claimedAt = now
+	}
 	listed := s.recordListing(now, r)
 	if c.renewalDue(now, s) {
 		s.needsSync()
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -44,8 +44,11 @@
 	// the agent first reported that since the last listing; zero if it has not.
 	unanswered   bool
 	unansweredAt time.Time
-	clockMillis  int64
-	clockAt      time.Time
+	// claimedAt is when the agent last reported that another incarnation may have replaced
+	// this one.
+	claimedAt   time.Time
+	clockMillis int64
+	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted expires, and
 	// grantedUntilMillis the end of the last known one by the runner's clock.
 	leaseEnd           time.Time
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -303,6 +303,7 @@
 		ExpiredSequence:  c.lease.expiredSequence,
 		Listed:           !c.listedAt.IsZero(),
 		Unanswered:       c.unansweredRenewals >= maxUnansweredRenewals,
+		Claimed:          c.claimedAgain(),
 		ListedEpoch:      c.listedEpoch,
 		Running:          slices.Clone(c.running),
 		Finished:         slices.Clone(c.finished),
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -231,5 +231,7 @@
 guard delayed-calls-state-their-leases pkg/scheduler/report.go '/^\ts.limitDelayedLease\(\)$/d' pkg/scheduler TestTaskOfRunnerThatIsLostBeforeItIsFenced
 guard former-owner-may-have-stated-later-leases pkg/scheduler/delayed_lease.go 's/former := max.*/former := 0*time.Second/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
 guard calls-to-any-earlier-incarnation-count pkg/scheduler/delayed_lease.go 's/if now.Before\(old.delayedCallsEnd\) \{/if false {/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
+guard claimed-runner-is-not-watched pkg/scheduler/leases.go 's/unclaimed := .*/unclaimed := true/' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
+guard claims-are-reported pkg/supervisor/core.go '/Claimed: +c.claimedAgain\(\),$/d' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
