--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -252,6 +252,7 @@
 	for _, row := range p.Copies {
 		c.loadCopy(seenAt, j, tasks, row)
 	}
+	p.loadReleased(tasks)
 }
 
 // loadRun restores a run that may be on a runner.
@@ -279,6 +280,8 @@
 			// Once the runner has listed its runs under this owner's epoch, it
 			// rejects the calls of earlier ones.
 			s.delayedLeaseEnd = end
+			s.delayedUntilMillis = unknownLease
+			s.delayedCallsEnd = end
 			s.fenceEpoch = c.cfg.Epoch
 			delete(c.cfg.DelayedLeases, key.ID)
 		}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -21,7 +21,11 @@
 	}
 	c.proveExpiry(s, r)
 	c.recordFence(now, s, r)
+	s.limitDelayedLease()
 	s.setUnanswered(now, r.Unanswered)
+	if r.Claimed {
+		s.claimedAt = now
+	}
 	listed := s.recordListing(now, r)
 	if c.renewalDue(now, s) {
 		s.needsSync()
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -49,8 +49,11 @@
 	// the agent first reported that since the last listing; zero if it has not.
 	unanswered   bool
 	unansweredAt time.Time
-	clockMillis  int64
-	clockAt      time.Time
+	// claimedAt is when the agent last reported that another incarnation may have replaced
+	// this one.
+	claimedAt   time.Time
+	clockMillis int64
+	clockAt     time.Time
 	// leaseEnd is when the last lease that could have been granted expires, and
 	// grantedUntilMillis the end of the last known one by the runner's clock.
 	leaseEnd           time.Time
@@ -62,8 +65,12 @@
 	// the runner has answered such a call.
 	delayedLeaseEnd time.Time
 	fenceEpoch      uint64
-	tasks           map[*task]struct{}
-	allocated       publisher.Resources
+	// delayedUntilMillis is the latest end of such a lease that the call can state, by
+	// this incarnation's clock. Such calls arrive until delayedCallsEnd.
+	delayedUntilMillis int64
+	delayedCallsEnd    time.Time
+	tasks              map[*task]struct{}
+	allocated          publisher.Resources
 	// bestEffortMillis and latencyCriticalMillis are the processors that tasks
 	// of the two kinds request, in thousandths of one.
 	bestEffortMillis      int64
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -86,6 +86,8 @@
 	checkpoint string
 	// record is what speaks for that the task crashes its runners.
 	record crashRecord
+	// released are the runs that were released because of an expired lease.
+	released releasedRuns
 	// crashedAt lists the addresses of the runners that crashed under the task, as far
 	// as this owner knows.
 	crashedAt []string
@@ -297,6 +299,7 @@
 		if t.record != (crashRecord{}) {
 			p.recordCrashes(i, len(tasks), t.record)
 		}
+		p.recordReleased(i, t)
 		row := TaskProgress{
 			Done:       t.done,
 			Run:        t.run,
