server: every part of a request and all connections together are bounded

The HTTP library buffers heads, lines and trailers as long as a peer sends them, takes spaces after a chunk's size without end, waits for the first request of a connection without a deadline, and has no bound over all connections. Its accept loop ends when descriptors are lacking. It also runs a request whose trailers are cut off.

Accepted connections are wrapped: a scanner follows the phases of the requests and bounds each; unfinished requests of all listeners share a budget, and the connection that has waited longest for its peer is closed first when it is used up, or when there are too many connections. A connection is only closed while the library waits for its peer, so never while a request is being answered. The deadlines of heads and bodies move with what has arrived. A cut request ends with an error that the library does not take for the end of the trailers.

Ruled out: the library's own head limit, which counts only after buffering and does not cover trailers; its streamed bodies, with which every handler would have to bound what it reads; a copy of the transport.

--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -12,8 +12,9 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -21,17 +22,42 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
-// idleTimeout is the time after which a connection without traffic is closed.
-const idleTimeout = time.Minute
+const (
+	// idleTimeout is the time after which a connection without traffic is closed.
+	idleTimeout = time.Minute
+	// maxKeptBodyBytes is the largest buffer for a body that is used again.
+	maxKeptBodyBytes = 64 << 10
+)
 
 // New returns a server that listens on address and limits request bodies to
 // maxBodyBytes.
 func New(address string, maxBodyBytes int) *server.Hertz {
+	return NewBounded(address, maxBodyBytes, nil)
+}
+
+// NewBounded returns a server like New. Each request on it is bound by what bounds returns
+// at its start; nil means the defaults.
+func NewBounded(address string, maxBodyBytes int, bounds func() Bounds) *server.Hertz {
+	return newServer(address, maxBodyBytes, bounds, process)
+}
+
+func newServer(address string, maxBodyBytes int, bounds func() Bounds, l *limiter) *server.Hertz {
 	hlog.SetOutput(io.Discard)
 	return server.New(
 		server.WithHostPorts(address),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(func(options *config.Options) network.Transporter {
+			return &transport{
+				options:      options,
+				limiter:      l,
+				bounds:       bounds,
+				maxBodyBytes: maxBodyBytes,
+			}
+		}),
 		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxKeepBodySize(maxKeptBodyBytes),
+		// A form would be written to files.
+		server.WithDisablePreParseMultipartForm(true),
+		// The connections have deadlines of their own.
 		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
