settings: memory and descriptors of an instance bound what its peers hold

The budget and the number of connections are derived from the instance, so they need its memory and descriptors. Both are settings; without them a process takes those of the smallest instance. The garbage collector gets a limit only if the memory is set, because an owner on a larger instance may need more than the smallest one has.

--- a/pkg/commander/fleet.go
+++ b/pkg/commander/fleet.go
@@ -145,6 +145,10 @@
 	if err != nil {
 		return nil, err
 	}
+	smallest := int64(smallestEntryBytes)
+	if role == "agent" {
+		smallest = smallestAgentBytes
+	}
 	fr, err := framer.New()
 	if err != nil {
 		return nil, err
@@ -154,12 +158,14 @@
 		return nil, err
 	}
 	lines := logger.NewLineWriter()
+	log := newFleetLogger(cfg, role, lines)
+	limitPeers(log, cfg.MemoryBytes, smallest, cfg.Descriptors)
 	return &fleetProcess{
 		settings: f,
 		cfg:      cfg,
 		out:      out,
 		lines:    lines,
-		log:      newFleetLogger(cfg, role, lines),
+		log:      log,
 		framer:   fr,
 		store:    store,
 	}, nil
--- a/pkg/commander/processes.go
+++ b/pkg/commander/processes.go
@@ -45,6 +45,7 @@
 		})
 	}
 	log := newLogger(cfg, "entry", s)
+	limitPeers(log, cfg.MemoryBytes, smallestEntryBytes, cfg.Descriptors)
 	fr, err := framer.New()
 	if err != nil {
 		return err
@@ -90,6 +91,7 @@
 		})
 	}
 	log := newLogger(cfg, "agent", s)
+	limitPeers(log, cfg.MemoryBytes, agentSlotBytes, cfg.Descriptors)
 	fr, err := framer.New()
 	if err != nil {
 		return err
--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -47,6 +47,14 @@
 	Registry string `toml:"registry"`
 	// Runner is the IP number and port of the runner; agents only.
 	Runner string `toml:"runner"`
+	// MemoryBytes is the memory of the process's instance, 32 MiB to 1 TiB; zero means
+	// that of the smallest instance. Unfinished requests may hold a fifth of it. If it is
+	// set, the process also collects garbage more often as it nears three quarters.
+	MemoryBytes int64 `toml:"memory-bytes"`
+	// Descriptors is the number of file descriptors that the process may open, 256 to
+	// 1048576; zero means 4100, or fewer if the system allows fewer. Three quarters of
+	// them, without 200 for files, may be accepted connections.
+	Descriptors int `toml:"descriptors"`
 }
 
 // FleetDefaults returns the defaults of the settings that a file may omit.
@@ -95,6 +103,8 @@
 		checkOptionalAddress("readiness", f.Readiness),
 		checkOptionalAddress("registry", f.Registry),
 		checkOptionalAddress("runner", f.Runner),
+		checkMemory(f.MemoryBytes),
+		checkDescriptors(f.Descriptors),
 	}
 	for _, err := range checks {
 		if err != nil {
--- a/pkg/configurer/settings.go
+++ b/pkg/configurer/settings.go
@@ -30,6 +30,14 @@
 	// LeaveGrace is the maximum time that a leaving process waits for work in
 	// flight.
 	LeaveGrace publisher.Duration `toml:"leave-grace"`
+	// MemoryBytes is the memory of the process's instance, 32 MiB to 1 TiB; zero means
+	// that of the smallest instance. Unfinished requests may hold a fifth of it. If it is
+	// set, the process also collects garbage more often as it nears three quarters.
+	MemoryBytes int64 `toml:"memory-bytes"`
+	// Descriptors is the number of file descriptors that the process may open, 256 to
+	// 1048576; zero means 4100, or fewer if the system allows fewer. Three quarters of
+	// them, without 200 for files, may be accepted connections.
+	Descriptors int `toml:"descriptors"`
 	// Agent holds the settings that only an agent reads.
 	Agent AgentSettings `toml:"agent"`
 	// Entry holds the settings that only an entry reads.
@@ -111,6 +119,8 @@
 		checkOptionalAddress("platform", s.Platform),
 		checkLogLevel(s.LogLevel),
 		publisher.CheckRange("leave-grace", int64(s.LeaveGrace), 0, int64(maxGrace)),
+		checkMemory(s.MemoryBytes),
+		checkDescriptors(s.Descriptors),
 		s.Agent.check(),
 		s.Entry.check(),
 	} {
