--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -173,8 +173,13 @@
 type Queues struct {
 	Version int64
 	List    []Queue
-	// MaxBodyBytes limits the size of a caller's request body.
+	// MaxBodyBytes and MaxHeadBytes limit the body and the head of a caller's request,
+	// HeadTimeout the time for a head, and IdleTimeout the time without a request. Zero
+	// means no limit of the operator's.
 	MaxBodyBytes int
+	MaxHeadBytes int
+	HeadTimeout  time.Duration
+	IdleTimeout  time.Duration
 	// former holds the queues that earlier versions had, as the last of them had
 	// them. The jobs of those that this one lacks are still to be run.
 	former map[string]*Queue
