connector: what unknown peers send on a link is bounded

The accepting end allocated up to 2 MB for the header of a frame, before any of it had arrived and before the hello. The first frame has at most 16 KiB now, larger ones get memory as they arrive, and all accepted links together take 16 MiB of large frames. Links that an owner dials are not counted: it chooses their peers. Silence of 3 s ends an accepted link as before, which also bounds a frame that stops arriving.

--- a/pkg/connector/frame_conn.go
+++ b/pkg/connector/frame_conn.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +21,12 @@
 	// maxReusedBufferBytes is the size of the largest payload buffer that a
 	// link keeps for reuse.
 	maxReusedBufferBytes = 64 << 10
+	// maxHelloBytes is the size of the largest first frame on an accepted link. It comes
+	// from a peer of which nothing is known.
+	maxHelloBytes = 16 << 10
+	// maxArrivingBytes is the size of all frames together that are arriving on accepted
+	// links and larger than maxReusedBufferBytes.
+	maxArrivingBytes = 8 * framer.MaxFrameBytes
 	// writeTimeout is the maximum time for which one write may block.
 	writeTimeout = EchoTimeout
 )
@@ -43,8 +51,13 @@
 	framer *framer.Framer
 	masks  bool
 	buf    []byte
+	// greeted is set once a frame has been read.
+	greeted bool
 }
 
+// arrivingBytes counts the bytes of maxArrivingBytes that are in use.
+var arrivingBytes atomic.Int64
+
 func newFrameConn(conn net.Conn, r *bufio.Reader, fr *framer.Framer, masks bool) *frameConn {
 	if r == nil {
 		r = bufio.NewReaderSize(conn, readBufferBytes)
@@ -90,16 +103,44 @@
 	if err := c.checkHeader(header); err != nil {
 		return framer.Frame{}, err
 	}
-	payload := c.buffer(int(header.Length))
-	if _, err := io.ReadFull(c.r, payload); err != nil {
-		return framer.Frame{}, errors.Wrap(err, "reading a frame")
+	payload, err := c.readPayload(int(header.Length))
+	if err != nil {
+		return framer.Frame{}, err
 	}
 	if header.Masked {
 		ws.Cipher(payload, header.Mask, 0)
 	}
+	c.greeted = true
 	return c.framer.Decode(payload)
 }
 
+// readPayload reads n bytes. Those of a large frame get memory as they arrive, and only
+// so much on all accepted links together.
+func (c *frameConn) readPayload(n int) ([]byte, error) {
+	if n <= maxReusedBufferBytes {
+		payload := c.buffer(n)
+		_, err := io.ReadFull(c.r, payload)
+		return payload, errors.Wrap(err, "reading a frame")
+	}
+	if !c.masks {
+		defer arrivingBytes.Add(-int64(n))
+		if arrivingBytes.Add(int64(n)) > maxArrivingBytes {
+			return nil, &ProtocolError{
+				Rule: "too many large frames are arriving",
+			}
+		}
+	}
+	var payload []byte
+	for have := 0; have < n; have = len(payload) {
+		more := min(n-have, max(maxReusedBufferBytes, have))
+		payload = slices.Grow(payload, more)[:have+more]
+		if _, err := io.ReadFull(c.r, payload[have:]); err != nil {
+			return nil, errors.Wrap(err, "reading a frame")
+		}
+	}
+	return payload, nil
+}
+
 func (c *frameConn) checkHeader(h ws.Header) error {
 	switch {
 	case h.OpCode != ws.OpBinary || !h.Fin:
@@ -110,6 +151,10 @@
 		return &ProtocolError{
 			Rule: fmt.Sprintf("a frame may have at most %d bytes", framer.MaxFrameBytes),
 		}
+	case !c.greeted && !c.masks && h.Length > maxHelloBytes:
+		return &ProtocolError{
+			Rule: fmt.Sprintf("the first frame may have at most %d bytes", maxHelloBytes),
+		}
 	case h.Masked == c.masks:
 		return &ProtocolError{
 			Rule: "the dialling end must mask its frames and the accepting end must not",
@@ -121,9 +166,6 @@
 
 // buffer returns a buffer of n bytes, which may be reused by the next read.
 func (c *frameConn) buffer(n int) []byte {
-	if n > maxReusedBufferBytes {
-		return make([]byte, n)
-	}
 	if n > cap(c.buf) {
 		c.buf = make([]byte, n)
 	}
