server: garbage collection keeps up while the budget is strained

Connections that are closed for lack of memory leave buffers behind faster than the collector's usual pace frees them.

While half of the budget is held, the process has a soft memory limit of three quarters of its memory, or more if its own heap needs more. A lasting limit was ruled out: an owner whose own heap is larger would collect all the time. No read is taken on while connections that are being closed hold another budget.

--- a/pkg/commander/limits.go
+++ b/pkg/commander/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"runtime/debug"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -18,16 +17,11 @@
 )
 
 // limitPeers limits what peers can make the process hold. memoryBytes and descriptors are
-// those of the settings; smallestBytes is used if there is no memory in them. The garbage
-// collector is told the limit only if the settings state it: an entry on a larger instance
-// may need more than the smallest one has.
+// those of the settings; smallestBytes is used if there is no memory in them.
 func limitPeers(log hclog.Logger, memoryBytes, smallestBytes int64, descriptors int) {
 	server.SetLogger(log)
 	server.SetLimits(server.Limits{
 		MemoryBytes: cmp.Or(memoryBytes, smallestBytes),
 		Descriptors: descriptors,
 	})
-	if memoryBytes > 0 {
-		debug.SetMemoryLimit(memoryBytes / 4 * 3)
-	}
 }
--- a/pkg/configurer/settings.go
+++ b/pkg/configurer/settings.go
@@ -31,8 +31,7 @@
 	// flight.
 	LeaveGrace publisher.Duration `toml:"leave-grace"`
 	// MemoryBytes is the memory of the process's instance, 32 MiB to 1 TiB; zero means
-	// that of the smallest instance. Unfinished requests may hold a fifth of it. If it is
-	// set, the process also collects garbage more often as it nears three quarters.
+	// that of the smallest instance. Unfinished requests may hold a fifth of it.
 	MemoryBytes int64 `toml:"memory-bytes"`
 	// Descriptors is the number of file descriptors that the process may open, 256 to
 	// 1048576; zero means 4100, or fewer if the system allows fewer. Three quarters of
--- a/pkg/server/limiter.go
+++ b/pkg/server/limiter.go
@@ -17,8 +17,8 @@
 	// defaultDescriptors is what the smallest instance has; 200 are kept for files.
 	defaultDescriptors  = 4100
 	reservedDescriptors = 200
-	// budgetShare is the part of a process's memory for unfinished requests. What is
-	// closed may be freed a little later, so that twice as much may be in use.
+	// budgetShare is the part of a process's memory for unfinished requests. Connections
+	// that are being closed may hold as much again.
 	budgetShare = 5
 	// maxLeaving is the number of connections that may be closing for lack of room when
 	// another one is accepted.
@@ -42,7 +42,7 @@
 }
 
 // process holds the connections of all listeners of the process.
-var process = newLimiter(Limits{})
+var process = newProcessLimiter()
 
 // refusals counts the refused requests and closed connections by cause.
 var refusals = expvar.NewMap("refusals")
@@ -60,10 +60,13 @@
 // limiter bounds the connections of a process and the bytes of their unfinished requests.
 type limiter struct {
 	lines *rate.Limiter
+	// collector is nil in a limiter that is not the process's.
+	collector *collector
 
 	mu         sync.Mutex
 	log        hclog.Logger
 	suppressed int
+	memory     int64
 	budget     int
 	maxConns   int
 	conns      map[*conn]struct{}
@@ -74,6 +77,12 @@
 	leavingConns int
 }
 
+func newProcessLimiter() *limiter {
+	l := newLimiter(Limits{})
+	l.collector = newCollector()
+	return l
+}
+
 func newLimiter(limits Limits) *limiter {
 	l := &limiter{
 		lines: rate.NewLimiter(linesPerSecond, lineBurst),
@@ -97,6 +106,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.memory = limits.MemoryBytes
 	l.budget = int(limits.MemoryBytes / budgetShare)
 	l.maxConns = max(1, (limits.Descriptors-reservedDescriptors)*3/4)
 }
@@ -210,7 +220,10 @@
 	defer l.mu.Unlock()
 	c.reading = false
 	l.setHeld(c, held)
-	if c.closedFor == causeNone && l.held-l.leaving > l.budget && !l.free(c) {
+	if l.collector != nil {
+		l.collector.observe(l.held, l.budget, l.memory)
+	}
+	if c.closedFor == causeNone && l.held-l.leaving > l.budget && !l.free(c) || l.held > 2*l.budget {
 		return causeMemory
 	}
 	return c.closedFor
