--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -179,6 +179,7 @@
 	)
 }
 
+// newTask returns a task without a run.
 func newTask(state taskState) *task {
 	t := &task{
 		taskState: &state,
