commander: fleet explain shows where a job would be placed now, and why

cause: an operator saw why a task waits only after it was submitted and had waited for 2 s. ruled out: an answer by any entry from its own tables: only the owner knows the reports of the runners. change: the owner answers POST /v1/explain at its link address with the answer of each runner, the chosen one, the cause of a wait, and when and where the runs in progress leave room first. Other entries answer 421 with the owner's address, which the command follows. At most eight steps are explained, so that the owner's loop is not blocked for long. after: TestExplanationAgreesWithPlacement, TestOnlyTheOwnerExplains. The command itself was not run against processes.

--- a/pkg/commander/fleet.go
+++ b/pkg/commander/fleet.go
@@ -26,9 +26,10 @@
 // fleetCommand groups the commands for the processes that run on a platform with
 // a store.
 type fleetCommand struct {
-	Entry fleetEntryCommand `cmd:"" help:"Run an entry, which takes callers' jobs and may own the cell."`
-	Agent fleetAgentCommand `cmd:"" help:"Run the agent beside one runner."`
-	Check fleetCheckCommand `cmd:"" help:"Check a settings file without running anything."`
+	Entry   fleetEntryCommand   `cmd:"" help:"Run an entry, which takes callers' jobs and may own the cell."`
+	Agent   fleetAgentCommand   `cmd:"" help:"Run the agent beside one runner."`
+	Check   fleetCheckCommand   `cmd:"" help:"Check a settings file without running anything."`
+	Explain fleetExplainCommand `cmd:"" help:"Show where a job would be placed now, and why, without submitting it."`
 }
 
 // fleetSettings is the flag for a process's settings file.
@@ -60,6 +61,7 @@
 		ThroughPeer:   peers.ThroughPeer,
 		OperatorTable: platform.OperatorTable,
 		DecodeQueues:  platform.DecodeQueues,
+		DecodeJob:     platform.DecodeJob,
 		Incarnation:   newIncarnation(),
 	})
 	expvar.Publish("entry", expvar.Func(func() any { return entry.Metrics() }))
--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -56,7 +56,9 @@
 	// queues.
 	OperatorTable string
 	DecodeQueues  func(row storer.PartitionedRow) (*scheduler.Queues, error)
-	Incarnation   uint64
+	// DecodeJob decodes a job of a queue as callers submit it.
+	DecodeJob   func(id string, queue *scheduler.Queue, body []byte) (scheduler.Spec, error)
+	Incarnation uint64
 }
 
 // Entry is the process that accepts callers' requests.
@@ -168,6 +170,7 @@
 	e.ctx = groupCtx
 	h := server.New(e.cfg.Link, maxLinkBodyBytes)
 	h.GET("/debug/vars", server.Vars)
+	e.serveExplanations(h)
 	relayer.Serve(h, e.deps.Store, e.relay)
 	group.Go(func() error { return e.loop.Run(groupCtx) })
 	group.Go(func() error { return server.Run(groupCtx, h) })
--- a/pkg/reserver/room.go
+++ b/pkg/reserver/room.go
@@ -250,3 +250,13 @@
 		cmp.Compare(a.StartedAtMillis, b.StartedAtMillis),
 	)
 }
+
+// Earliest returns when and where the runners have room for a need first by the runs in
+// progress; without any, parts is empty.
+func Earliest(now time.Time, n Need, runners []Runner) (at time.Time, parts []Part) {
+	for i := range runners {
+		runners[i].prepare()
+	}
+	found, _ := earliest(now, &n, runners, func(*Runner) bool { return true })
+	return found.at, found.parts
+}
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -249,7 +249,11 @@
 // bar sets which of the runners in the plan a need cannot use, whatever is free there.
 func (c *Cell) bar(n *reserver.Need) {
 	r := c.jobs[n.Key.Job].occurrences[n.Key.Occurrence]
-	t := r.steps[n.Key.Step][0]
+	c.barFor(n, r.steps[n.Key.Step][0])
+}
+
+// barFor is like bar, for the need of a task.
+func (c *Cell) barFor(n *reserver.Need, t *task) {
 	step := t.spec()
 	if step.Requires == "" && step.AntiAffinity == 0 {
 		return
