--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -179,11 +179,17 @@
 
 // For returns the reservation of a need, or nil.
 func (r *Reserver) For(need Key) *Reservation {
+	if len(r.byNeed) == 0 {
+		return nil
+	}
 	return r.byNeed[need]
 }
 
 // On returns the reservation on a runner, or nil.
 func (r *Reserver) On(runner framer.RunnerKey) *Reservation {
+	if len(r.byRunner) == 0 {
+		return nil
+	}
 	return r.byRunner[runner]
 }
 
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -183,15 +183,26 @@
 		if since.IsZero() || now.Sub(since) < reserveAfter {
 			continue
 		}
-		if t := c.largeTask(now, w); t != nil {
+		if !c.deserves(w) {
+			continue
+		}
+		if t := c.nextTask(now, w); t != nil {
 			p.addNeed(c.need(w, t))
 		}
 	}
 }
 
-// largeTask returns the next task of a step to be placed, the first one of a gang, if it
-// is large or has a reservation, and nil otherwise.
-func (c *Cell) largeTask(now time.Time, w *candidate) *task {
+// deserves reports whether the tasks of a step are large, or one has a reservation.
+func (c *Cell) deserves(w *candidate) bool {
+	if c.index.service(c.service(w.job)).sizes.large(&w.job.spec.Steps[w.step]) {
+		return true
+	}
+	return c.reservationFor(w.occurrence.steps[w.step][0]) != nil
+}
+
+// nextTask returns the next task of a step to be placed, the first one of a gang, or nil
+// if none can be.
+func (c *Cell) nextTask(now time.Time, w *candidate) *task {
 	step := &w.job.spec.Steps[w.step]
 	tasks := w.occurrence.steps[w.step]
 	i := slices.IndexFunc(tasks, func(t *task) bool { return t.pending(now) })
@@ -204,9 +215,6 @@
 	if !placeable || t.record.suspect() {
 		return nil
 	}
-	if c.reservations.reserver.For(t.needKey()) == nil && !c.index.service(c.service(w.job)).sizes.large(step) {
-		return nil
-	}
 	return t
 }
 
