--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -54,13 +54,14 @@
 	ThroughPeer func(peer string) storer.RowStore
 	// OperatorTable is the name of the table with the operators' rows.
 	// DecodeQueues decodes one of them; it returns nil for a row without
-	// queues.
+	// queues. DecodeOrder decodes an order to drain a failure domain, and reports
+	// whether the row is one; a deleted row withdraws the order.
 	OperatorTable string
-	// DecodeOrder decodes an order to drain a failure domain, and reports whether
-	// the row is one; a deleted row withdraws the order.
-	DecodeQueues func(row storer.PartitionedRow) (*scheduler.Queues, error)
-	DecodeOrder  func(row storer.PartitionedRow) (drainer.Order, bool)
-	Incarnation  uint64
+	DecodeQueues  func(row storer.PartitionedRow) (*scheduler.Queues, error)
+	DecodeOrder   func(row storer.PartitionedRow) (drainer.Order, bool)
+	// DecodeJob decodes a job of a queue as callers submit it.
+	DecodeJob   func(id string, queue *scheduler.Queue, body []byte) (scheduler.Spec, error)
+	Incarnation uint64
 }
 
 // Entry is the process that accepts callers' requests.
@@ -175,6 +176,7 @@
 	e.ctx = groupCtx
 	h := server.New(e.cfg.Link, maxLinkBodyBytes)
 	h.GET("/debug/vars", server.Vars)
+	e.serveExplanations(h)
 	relayer.Serve(h, e.deps.Store, e.relay)
 	group.Go(func() error { return e.loop.Run(groupCtx) })
 	group.Go(func() error { return server.Run(groupCtx, h) })
