placer: an end of a start that was given up is forgotten once the lease is proven over

Cause: the owner gave a start up because the worker's lease had expired by the owner's clock, and placed the task elsewhere. With the first report after the silence it granted the worker another lease, and told it to forget that the start was done, although the clock in that report was before the end of the lease.

Ruled out: that the owner waits too short (the margin for clocks is waited for), and that the row of the present start is missing (forget-after-the-row-is-written).

Change: a worker with starts that were given up gets neither a lease nor a command nor a task, and keeps its ends, until its clock is beyond the last lease and what the owner waited for, and another reading 100 ms later shows so too (expiry, as in pkg/scheduler). The same path: the next owner requires the proof for a start that was done while its task runs again, and for one that failed and is among the starts that the task's row states as given up. The overseer calls a worker again at once after its first report only, not whenever a call has no lease.

go test ./pkg/placer -run TestEndOfGivenUpStartIsNotForgottenWithoutProof failed before and passes. Guards: given-up-starts-need-proof, next-owner-of-workers-needs-proof, no-forget-without-proof.

--- a/pkg/overseer/core.go
+++ b/pkg/overseer/core.go
@@ -261,7 +261,7 @@
 		c.cell.MarkUnreachable(now, s.Worker)
 		return nil
 	}
-	first := s.LeaseUntilMillis == 0
+	first := !c.cell.Registered(s.Worker)
 	c.cell.HandleReport(now, s.Worker, report)
 	c.staleRunCommands[s.Worker] = c.cell.StaleRunCommands(s.Worker, report)
 	if first || len(c.staleRunCommands[s.Worker]) > 0 {
--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -231,7 +231,7 @@
 	for _, address := range slices.Concat(c.addresses, c.removed) {
 		w := c.workers[address]
 		if !w.reachable && now.After(w.leaseEnd.Add(clockMargin)) {
-			c.loseAllTasks(w, "the worker's lease lapsed")
+			c.loseLapsedTasks(w)
 		}
 	}
 	c.reconcileReplicas()
--- a/pkg/placer/output.go
+++ b/pkg/placer/output.go
@@ -51,7 +51,8 @@
 }
 
 // Sync returns the next call to a worker. With mayStart false it only renews the
-// lease and sends commands other than starts.
+// lease and sends commands other than starts. While a proof is due that the last lease has
+// expired, it only asks for a report.
 func (c *Cell) Sync(now time.Time, address string, mayStart bool) Sync {
 	c.now = now
 	w := c.workers[address]
@@ -64,7 +65,12 @@
 		return s
 	}
 	s.Incarnation = w.incarnation
+	if w.expiry.due {
+		// A worker carries out no command without a lease.
+		return s
+	}
 	s.LeaseUntilMillis = w.clockMillis + TaskLease.Milliseconds()
+	w.leaseUntilMillis = max(w.leaseUntilMillis, s.LeaseUntilMillis)
 	w.leaseEnd = w.clockAt.Add(TaskLease)
 	c.withdrawStarts(w)
 	for _, e := range w.placed() {
@@ -136,8 +142,11 @@
 
 // StaleRunCommands returns the commands that stop or drop starts that a worker
 // reports but should not have: those that are over, or that belong to another
-// worker.
+// worker. There are none while a proof is due that the worker's lease has expired.
 func (c *Cell) StaleRunCommands(address string, r Report) []Command {
+	if c.workers[address].expiry.due {
+		return nil
+	}
 	var commands []Command
 	for _, t := range r.Tasks {
 		e := c.tasks[t.ID]
@@ -200,6 +209,11 @@
 	return e.Task, true
 }
 
+// Registered reports whether a worker has sent a report.
+func (c *Cell) Registered(address string) bool {
+	return c.workers[address].registered
+}
+
 // Epoch returns the epoch under which the cell is owned.
 func (c *Cell) Epoch() uint64 {
 	return c.epoch
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -13,6 +13,8 @@
 	}
 	if w.registered && w.incarnation != r.Incarnation {
 		c.loseAllTasks(w, "the worker was replaced")
+		w.expiry = expiry{}
+		w.leaseUntilMillis = 0
 	}
 	if !w.registered || w.incarnation != r.Incarnation {
 		c.registerIncarnation(w, r)
@@ -21,6 +23,7 @@
 	w.reachable = true
 	w.clockMillis = r.ClockMillis
 	w.clockAt = now
+	w.proveExpiry(r.ClockMillis)
 	c.reconcile(w, r)
 	c.processSlowdowns(w, r)
 }
@@ -59,6 +62,15 @@
 	}
 }
 
+// loseLapsedTasks loses all tasks of a worker whose lease has expired by the owner's clock.
+func (c *Cell) loseLapsedTasks(w *worker) {
+	for _, e := range w.placed() {
+		w.requireExpiry(c.now)
+		e.recordReleased()
+		c.loseWithWorker(e, "the worker's lease lapsed")
+	}
+}
+
 // loseTask requeues a task whose start is lost; the task resumes from its
 // checkpoint. A task that was being cancelled is cancelled instead.
 func (c *Cell) loseTask(e *trackedTask, why string) {
@@ -99,6 +111,7 @@
 	for _, t := range r.Tasks {
 		e := c.tasks[t.ID]
 		if e == nil || e.Worker != w.address || e.Start != t.Start || e.State.Final() {
+			c.requireFor(w, t)
 			continue
 		}
 		listed[e] = true
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -94,6 +94,9 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// Failures counts starts that failed.
 	Failures int `json:"failures,omitempty"`
+	// Released lists the last starts that were given up because of an expired lease. If
+	// one of them failed, that was not counted.
+	Released []int `json:"released,omitempty"`
 	// Crashes counts the workers in a row that were lost under the task.
 	Crashes int `json:"crashes,omitempty"`
 	// Evictions counts starts that were evicted.
--- a/pkg/placer/worker.go
+++ b/pkg/placer/worker.go
@@ -84,6 +84,9 @@
 	clockAt        time.Time
 	// leaseEnd is when the last lease that may have been granted ends.
 	leaseEnd time.Time
+	// leaseUntilMillis is the end of the last known lease by the worker's clock.
+	leaseUntilMillis int64
+	expiry           expiry
 
 	failedTasks     []string
 	quarantine      time.Duration
@@ -154,7 +157,7 @@
 // usable reports whether tasks may be placed on the worker now. After its
 // quarantine, a worker gets one task at a time until one succeeds.
 func (w *worker) usable(now time.Time) bool {
-	if !w.registered || !w.reachable {
+	if !w.registered || !w.reachable || w.expiry.due {
 		return false
 	}
 	if len(w.failedTasks) < quarantineThreshold {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -233,5 +233,8 @@
 guard calls-to-any-earlier-incarnation-count pkg/scheduler/delayed_lease.go 's/if now.Before\(old.delayedCallsEnd\) \{/if false {/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
 guard claimed-runner-is-not-watched pkg/scheduler/leases.go 's/unclaimed := .*/unclaimed := true/' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
 guard claims-are-reported pkg/supervisor/core.go '/Claimed: +c.claimedAgain\(\),$/d' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
+guard given-up-starts-need-proof pkg/placer/reconcile.go '/w.requireExpiry\(c.now\)/d' pkg/placer TestWorkerWhoseStartsWereGivenUpGetsNoLease
+guard next-owner-of-workers-needs-proof pkg/placer/reconcile.go '/c.requireFor\(w, t\)/d' pkg/placer TestEndOfGivenUpStartIsNotForgottenByNextOwner
+guard no-forget-without-proof pkg/placer/output.go 's/if c.workers\[address\].expiry.due/if false/' pkg/placer TestEndOfGivenUpStartIsNotForgottenWithoutProof
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
