--- a/pkg/commander/fleet.go
+++ b/pkg/commander/fleet.go
@@ -28,8 +28,9 @@
 type fleetCommand struct {
 	Entry   fleetEntryCommand   `cmd:"" help:"Run an entry, which takes callers' jobs and may own the cell."`
 	Agent   fleetAgentCommand   `cmd:"" help:"Run the agent beside one runner."`
-	Check   fleetCheckCommand   `cmd:"" help:"Check a settings file without running anything."`
 	Explain fleetExplainCommand `cmd:"" help:"Show where a job would be placed now, and why, without submitting it."`
+	Domains fleetDomainsCommand `cmd:"" help:"Print the state of the failure domains, as an entry knows it."`
+	Check   fleetCheckCommand   `cmd:"" help:"Check a settings file without running anything."`
 }
 
 // fleetSettings is the flag for a process's settings file.
--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -43,6 +43,10 @@
 	// MaxReservations is the largest number of large tasks and gangs for which room
 	// is reserved on runners at a time: 0 to 64. Zero means that none is.
 	MaxReservations int `toml:"max-reservations"`
+	// ColdRuns is how many tasks a runner takes in any case while it is cold after its
+	// start; beyond them, its load grows in steps until it is warm. Zero: cold runners
+	// are used like warm ones.
+	ColdRuns int `toml:"cold-runs"`
 	// Grace is the maximum time that a process may take to shut down.
 	Grace publisher.Duration `toml:"grace"`
 	// Callers is the IP number and port for callers' requests; entries only.
@@ -97,6 +101,7 @@
 
 func (f *Fleet) check() error {
 	const minDuration, maxDuration = int64(time.Second), int64(time.Hour)
+	const maxColdRuns = 10_000
 	const minDrain = int64(3 * time.Second)
 	const minRestart = int64(6 * time.Second)
 	const maxProcessors = 1 << 10
@@ -108,6 +113,7 @@
 		publisher.CheckRange("processors", int64(math.Ceil(f.Processors)), 0, maxProcessors),
 		publisher.CheckRange("longest-lease", int64(f.LongestLease), minDuration, maxDuration),
 		publisher.CheckRange("restart-within", int64(f.RestartWithin), minRestart, maxDuration),
+		publisher.CheckRange("cold-runs", int64(f.ColdRuns), 0, maxColdRuns),
 		checkDrainWithin(f.DrainWithin, minDrain, maxDuration),
 		publisher.CheckRange("max-reservations", int64(f.MaxReservations), 0, maxReservations),
 		publisher.CheckRange("grace", int64(f.Grace), minDuration, maxDuration),
--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -119,6 +119,12 @@
 	Agents int              `json:"agents"`
 	Cell   scheduler.Counts `json:"cell"`
 	Waits  scheduler.Waits  `json:"waits"`
+	// Domains are the failure domains: all of them if the entry owns the cell, or else
+	// those with an order.
+	Domains []DomainStatus `json:"domains"`
+	// OrdersAgeMillis is how old the reading of the orders to drain domains is; -1 if
+	// there was none.
+	OrdersAgeMillis int64 `json:"orders-age-millis"`
 	// Refused counts submissions and cancellations that had no effect, Unknown
 	// those with an unknown outcome.
 	Refused int64            `json:"refused"`
@@ -349,6 +355,10 @@
 		m.Cell = e.owner.cell.Counts
 		m.Waits = e.owner.cell.Waits()
 	}
+	m.Domains, m.OrdersAgeMillis = e.domainStatuses(), -1
+	if !e.ordersReadAt.IsZero() {
+		m.OrdersAgeMillis = e.clock.Now().Sub(e.ordersReadAt).Milliseconds()
+	}
 	e.metrics.Store(m)
 }
 
--- a/pkg/controller/loading.go
+++ b/pkg/controller/loading.go
@@ -115,6 +115,7 @@
 		DelayedLeases:   maps.Clone(o.delayedLeases),
 		DrainWithin:     time.Duration(e.cfg.DrainWithin),
 		MaxReservations: e.cfg.MaxReservations,
+		ColdRuns:        e.cfg.ColdRuns,
 		LogEvent: func(message string, pairs ...any) {
 			e.log.Info(message, append(pairs, "epoch", o.lease.Epoch())...)
 		},
--- a/pkg/controller/orders.go
+++ b/pkg/controller/orders.go
@@ -42,3 +42,54 @@
 		e.owner.cell.OrdersRead(at)
 	}
 }
+
+// DomainStatus is the state of a failure domain as an entry knows it.
+type DomainStatus struct {
+	Name  string        `json:"name"`
+	State drainer.State `json:"state"`
+	// SinceMillis is when the domain entered the state, and OrderedMillis when the last
+	// order was read, both in milliseconds since 1970 and as far as the entry knows.
+	SinceMillis   int64 `json:"since-millis"`
+	OrderedMillis int64 `json:"ordered-millis,omitempty"`
+	// OrderVersion is the version of the last order's row.
+	OrderVersion uint64 `json:"order-version,omitempty"`
+	// Runs counts the runs in the domain; only the owner of the cell knows them.
+	Runs    *int `json:"runs,omitempty"`
+	Runners *int `json:"runners,omitempty"`
+}
+
+// domainStatuses returns all failure domains if the entry owns the cell, or else those with
+// an order.
+func (e *Entry) domainStatuses() []DomainStatus {
+	var list []DomainStatus
+	if e.owner.cell == nil {
+		for _, o := range e.orders.List() {
+			list = append(list, newDomainStatus(drainer.Domain{
+				Name:  o.Domain,
+				State: drainer.StateDraining,
+				Since: o.SeenAt,
+				Order: o,
+			}))
+		}
+		return list
+	}
+	for _, d := range e.owner.cell.Domains() {
+		status := newDomainStatus(d)
+		status.Runs, status.Runners = &d.Load.Runs, &d.Load.Runners
+		list = append(list, status)
+	}
+	return list
+}
+
+func newDomainStatus(d drainer.Domain) DomainStatus {
+	status := DomainStatus{
+		Name:         d.Name,
+		State:        d.State,
+		SinceMillis:  d.Since.UnixMilli(),
+		OrderVersion: d.Order.Version,
+	}
+	if d.Order.Version > 0 {
+		status.OrderedMillis = d.Order.SeenAt.UnixMilli()
+	}
+	return status
+}
--- a/pkg/drainer/drainer.go
+++ b/pkg/drainer/drainer.go
@@ -34,9 +34,11 @@
 
 // Load is what a failure domain holds.
 type Load struct {
-	// Runs counts the runs there, Cold the runners that are not warm yet.
-	Runs int
-	Cold int
+	// Runs counts the runs there, Runners the runners, and Cold those that are not warm
+	// yet.
+	Runs    int
+	Runners int
+	Cold    int
 }
 
 // Domain is the state of a failure domain.
@@ -47,11 +49,10 @@
 	Since time.Time
 	// Order is the last order for it; its Version is zero if there was none.
 	Order Order
-	// Runs is how many runs are left.
-	Runs int
+	Load  Load
 }
 
-// Drainer holds the state of each failure domain for which there is or was an order.
+// Drainer holds the state of each failure domain with runners or an order.
 // It is not safe for concurrent use.
 type Drainer struct {
 	cfg     Config
@@ -102,16 +103,20 @@
 	return known == nil || !known.ordered()
 }
 
-// Idle reports whether there is nothing to observe.
-func (d *Drainer) Idle() bool {
-	return len(d.domains) == 0
-}
-
 // Observe moves the domains to the states that follow from what they hold.
 func (d *Drainer) Observe(now time.Time, loads map[string]Load) {
+	for name := range loads {
+		if d.domains[name] == nil {
+			d.domains[name] = &Domain{
+				Name:  name,
+				State: StateActive,
+				Since: now,
+			}
+		}
+	}
 	for _, known := range d.sorted() {
-		load := loads[known.Name]
-		known.Runs = load.Runs
+		load, found := loads[known.Name]
+		known.Load = load
 		switch known.State {
 		case StateDraining:
 			if load.Runs == 0 {
@@ -124,14 +129,16 @@
 		case StateReturning:
 			if load.Cold == 0 && now.Sub(known.Since) >= returnTime {
 				d.enter(now, known, StateActive)
-				delete(d.domains, known.Name)
 			}
 		default:
+			if !found {
+				delete(d.domains, known.Name)
+			}
 		}
 	}
 }
 
-// Snapshot returns the domains that are not active, sorted by name.
+// Snapshot returns all domains, sorted by name.
 func (d *Drainer) Snapshot() []Domain {
 	var list []Domain
 	for _, known := range d.sorted() {
@@ -144,7 +151,7 @@
 func (d *Drainer) enter(now time.Time, known *Domain, state State) {
 	known.State = state
 	known.Since = now
-	d.cfg.LogEvent("failure domain "+string(state), "domain", known.Name, "order-version", known.Order.Version, "runs", known.Runs)
+	d.cfg.LogEvent("failure domain "+string(state), "domain", known.Name, "order-version", known.Order.Version, "runs", known.Load.Runs)
 }
 
 func (d *Drainer) sorted() []*Domain {
--- a/pkg/framer/runs.go
+++ b/pkg/framer/runs.go
@@ -76,6 +76,8 @@
 	Draining        bool      `cbor:"draining,omitempty"`
 	// Left is set once the runner has reported that it leaves permanently.
 	Left bool `cbor:"left,omitempty"`
+	// ColdMillis is how much longer the runner is slow after its start.
+	ColdMillis int64 `cbor:"cold-millis,omitempty"`
 }
 
 // RunStatus is the state of a run that a runner lists as present.
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -44,6 +44,9 @@
 	// MaxReservations is the largest number of reservations for large tasks at a time;
 	// zero means none.
 	MaxReservations int
+	// ColdRuns is how many tasks a cold runner takes in any case; beyond them, its load
+	// grows in steps until it is warm. Zero: cold runners are used like warm ones.
+	ColdRuns int
 	// LogEvent logs a scheduling decision as a constant message with key/value
 	// pairs. It may be nil.
 	LogEvent func(message string, pairs ...any)
@@ -90,6 +93,12 @@
 	// reservations is nil if there are none.
 	reservations *reservations
 	copies       *copies
+	// domainsWatchedAt is when watchDomains last looked at the failure domains, nextMove
+	// counts the steps that it considered for a move, and holders lists the runners that
+	// hold room for a task on its way.
+	domainsWatchedAt time.Time
+	nextMove         int
+	holders          []*runnerState
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -126,6 +135,10 @@
 	CopiesWon     int64 `json:"copies-won"`
 	CopiesLost    int64 `json:"copies-lost"`
 	CopiesRefused int64 `json:"copies-refused"`
+	// Moved counts the long-running tasks that were moved out of a failure domain, and
+	// Withdrawn the starts that were withdrawn.
+	Moved     int64 `json:"moved"`
+	Withdrawn int64 `json:"withdrawn"`
 }
 
 // NewCell returns a cell without jobs or runners.
@@ -369,6 +382,7 @@
 	t.listedIn = 0
 	t.missing = missing{}
 	t.percent = 0
+	t.up = false
 	t.stalledFor = 0
 	t.stopping = false
 	t.placedAt = time.Time{}
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -104,7 +104,7 @@
 		c.index.block(s)
 		return false
 	}
-	return c.fits(s, w, t) && !c.reservedFromTask(now, s, w, t)
+	return !c.tooCold(now, s, t.spec()) && c.fits(s, w, t) && !c.reservedFromTask(now, s, w, t)
 }
 
 // tooBusy reports whether a runner has too few idle processors for a
@@ -134,7 +134,7 @@
 			ProcessorMillis: reserve,
 		})
 	}
-	if free := s.free(); !publisher.Within(needs, free) {
+	if free := publisher.Subtract(s.free(), s.held(t)); !publisher.Within(needs, free) {
 		return shortage(step.allocation(), free)
 	}
 	if !step.BestEffort || w.starved {
--- a/pkg/scheduler/draining.go
+++ b/pkg/scheduler/draining.go
@@ -11,6 +11,9 @@
 // starts nothing. What an agent is asked to start, it starts within DrainWithin times
 // startValidityPercent, also if it is cut off. What remains is for the call to the runner.
 const (
+	// domainInterval is the time between two looks at the failure domains.
+	domainInterval = 200 * time.Millisecond
+
 	staleOrdersPercent   = 50
 	startValidityPercent = 30
 )
@@ -69,21 +72,34 @@
 	return requestedHere || s.listedSinceLink
 }
 
-// watchDomains moves the domains to the states that follow from what runs there.
+// watchDomains moves the domains to the states that follow from what runs there, and
+// long-running tasks out of those that are drained.
 func (c *Cell) watchDomains(now time.Time) {
-	if c.domains.Idle() {
+	if now.Sub(c.domainsWatchedAt) < domainInterval {
 		return
 	}
+	c.domainsWatchedAt = now
 	loads := map[string]drainer.Load{}
 	for _, s := range c.runners {
+		if !s.reported {
+			continue
+		}
 		load := loads[s.info.FailureDomain]
 		load.Runs += len(s.tasks) + len(s.unexpectedRuns)
+		if s.agent != "" {
+			load.Runners++
+		}
+		if s.agent != "" && s.cold(now) {
+			load.Cold++
+		}
 		loads[s.info.FailureDomain] = load
 	}
 	c.domains.Observe(now, loads)
+	c.dropHolds(now)
+	c.moveTasks(now)
 }
 
-// Domains returns the failure domains that are not active.
+// Domains returns the state of all failure domains.
 func (c *Cell) Domains() []drainer.Domain {
 	return c.domains.Snapshot()
 }
--- a/pkg/scheduler/refusal.go
+++ b/pkg/scheduler/refusal.go
@@ -40,6 +40,8 @@
 	refusedNoAccelerators
 	// refusedReserved: what is free is reserved for the most urgent queue.
 	refusedReserved
+	// refusedCold: the runner is cold and has the load that it gets for now.
+	refusedCold
 	// refusedBusy: the runner has too few idle processors for a best-effort
 	// task.
 	refusedBusy
@@ -75,6 +77,7 @@
 	refusedNoMemory:       "no-memory",
 	refusedNoAccelerators: "no-accelerators",
 	refusedReserved:       "reserved",
+	refusedCold:           "cold",
 	refusedBusy:           "busy",
 	refusedNotTolerated:   "not-tolerated",
 	refusedForWaiting:     "reserved-for-waiting",
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -87,6 +87,7 @@
 	}
 	s.reported = true
 	s.reportedBy(now, agent)
+	c.setCold(now, s, info)
 	c.updateDomain(s)
 	c.agents[agent] = s
 	if info.Left {
@@ -182,6 +183,7 @@
 		t.listedSince = now
 	}
 	t.listedIn = s.listings
+	t.up = t.up || status.Percent >= fullPercent
 	t.listedAt = s.listedAt
 	c.clearRecord(now, t)
 	if status.Checkpoint != "" {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -32,6 +32,11 @@
 	reported bool
 	// domainClosed is set while the runner's failure domain takes no tasks.
 	domainClosed bool
+	// hold is room for a task on its way. coldSince is when the runner was first seen
+	// cold, and coldUntil when it will be warm; zero if it is warm.
+	hold      hold
+	coldSince time.Time
+	coldUntil time.Time
 	// listedSinceLink is set once the runner has made a listing so long after its
 	// agent linked to this owner that it shows all runs of former owners.
 	listedSinceLink bool
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -118,7 +118,8 @@
 	}
 	for _, t := range s.placed() {
 		if !t.confirmed && !t.stopping && (!s.domainClosed || c.mayWithdraw(s, t)) {
-			c.cfg.LogEvent("start withdrawn", "task", t.name(), "run", t.run, "runner", s.key.ID, "free-millis", s.free().ProcessorMillis)
+			c.Counts.Withdrawn++
+			c.cfg.LogEvent("start withdrawn", "task", t.name(), "run", t.run, "runner", s.key.ID, "free-millis", s.free().ProcessorMillis, "domain-draining", s.domainClosed)
 			c.stop(t)
 		}
 	}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -140,6 +140,10 @@
 	stalledFor time.Duration
 	// progressRun is the run whose progress was last checked.
 	progressRun int
+	// up is set once the run, if it is long-running, listed that it is at work. moving
+	// is set from the stop that moves the task until it is at work again.
+	up     bool
+	moving bool
 	// stopping is set while a stop is requested for the run.
 	stopping bool
 	// placedAt is when the run was placed, or when this owner read that it was; known is
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -333,6 +333,9 @@
 		if reason == accepted && c.reservedFromTask(now, s, &w, t) {
 			reason = refusedForWaiting
 		}
+		if reason == accepted && c.tooCold(now, s, t.spec()) {
+			reason = refusedCold
+		}
 		if reason == accepted && s.position.mayHoldMore {
 			reason = acceptedLately
 		}
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -171,7 +171,7 @@
 		return causeNoLabel
 	case last == refusedAntiAffinity:
 		return causeAntiAffinity
-	case last <= refusedReserved:
+	case last <= refusedCold:
 		return causeNoRoom
 	case last == refusedForWaiting:
 		return causeRoomReserved
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -315,6 +315,7 @@
 		Running:          slices.Clone(c.running),
 		Finished:         slices.Clone(c.finished),
 	}
+	r.Runner.ColdMillis = max(0, r.Runner.ColdMillis-now.Sub(c.heartbeatAt).Milliseconds())
 	if r.Listed {
 		r.ListingAgeMillis = now.Sub(c.listedAt).Milliseconds()
 	}
