--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -277,6 +277,7 @@
 		})
 	case action.Start != nil:
 		call := *action.Start
+		sim.checkDrained(a, call.Start.RunRef)
 		sim.logf("%s run %d: start request sent by %s to %v", call.Start.Task, call.Start.Run, a.name, call.Header.Runner)
 		callRunner(sim, a, func(r *emulator.StepRunner) supervisor.Answer {
 			if a.refusing {
--- a/pkg/experimenter/steps_owner_test.go
+++ b/pkg/experimenter/steps_owner_test.go
@@ -46,8 +46,10 @@
 			FormerLeasesEnd: sim.formerLeasesEnd(),
 			DelayedLeases:   sim.delayedLeases(former),
 			MaxReservations: sim.maxReservations,
+			DrainWithin:     sim.drainWithin(),
 		})
 		o.cell.SetQueues(sim.queues)
+		sim.tellOrders(o)
 		for _, id := range slices.Sorted(maps.Keys(sim.specs)) {
 			spec := sim.specs[id]
 			if p, ok := sim.progress[id]; ok {
--- a/pkg/experimenter/steps_simulation_test.go
+++ b/pkg/experimenter/steps_simulation_test.go
@@ -81,6 +81,7 @@
 	allocated        map[*emulator.StepRunner]publisher.Resources
 	endedAt          map[string]time.Time
 	crashes          crashes
+	draining         draining
 	// runTime returns the duration of a run on an agent's runner and the reason
 	// with which it finishes.
 	runTime func(a *stepsAgent, ref framer.RunRef) (time.Duration, framer.FinishReason)
