--- a/pkg/scheduler/draining_test.go
+++ b/pkg/scheduler/draining_test.go
@@ -211,7 +211,13 @@
 
 // A long-running step is moved one task at a time, the next one once the last one is at work.
 func TestLongRunningTasksAreMovedOneAtATime(t *testing.T) {
-	h := newMovesHarness(t, 1)
+	for _, maxUnavailable := range []int{0, 1, 2} {
+		t.Run(strconv.Itoa(maxUnavailable), func(t *testing.T) { testMovesOneAtATime(t, maxUnavailable) })
+	}
+}
+
+func testMovesOneAtATime(t *testing.T, maxUnavailable int) {
+	h := newMovesHarness(t, maxUnavailable)
 	h.order("east")
 	for moved := 1; moved <= 3; moved++ {
 		h.advance(time.Second)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -260,5 +260,20 @@
 guard given-up-starts-need-proof pkg/placer/reconcile.go '/w.requireExpiry\(c.now\)/d' pkg/placer TestWorkerWhoseStartsWereGivenUpGetsNoLease
 guard next-owner-of-workers-needs-proof pkg/placer/reconcile.go '/c.requireFor\(w, t\)/d' pkg/placer TestEndOfGivenUpStartIsNotForgottenByNextOwner
 guard no-forget-without-proof pkg/placer/output.go 's/if c.workers\[address\].expiry.due/if false/' pkg/placer TestEndOfGivenUpStartIsNotForgottenWithoutProof
+guard drained-domain-gets-no-start pkg/scheduler/refusal.go 's/case s.domainClosed:/case false:/' pkg/scheduler TestFullDomainThatIsOrderedDrainedGetsNoStart
+guard drained-domain-gets-no-start-at-random pkg/scheduler/refusal.go 's/case s.domainClosed:/case false:/' $simulation TestDrainingUnderFaults/seed-1
+guard orders-without-rows-are-gone pkg/controller/orders.go 's/if whole \{/if false {/' pkg/controller TestOrdersAfterLostHistory
+guard next-owner-knows-the-orders pkg/controller/loading.go '/o.cell.SetOrders\(/d' pkg/controller TestNextOwnerKnowsTheOrders
+guard old-start-is-not-carried-out pkg/supervisor/commands.go 's/timely := .*/timely := true/' pkg/supervisor TestCutOffAgentCarriesOutNoOldStart
+guard old-start-is-not-carried-out-at-random pkg/supervisor/commands.go 's/timely := .*/timely := true/' $simulation TestDrainingUnderFaults
+guard unread-listing-tells-no-time pkg/supervisor/lease.go 's/clockMillis > c.clockByNow\(now\)/true/' pkg/supervisor TestCutOffAgentCarriesOutNoOldStart
+guard old-orders-start-nothing pkg/scheduler/draining.go 's/return c.cfg.DrainWithin == 0 .*/return true/' pkg/scheduler TestOwnerWithOldReadingOfOrdersStartsNothing
+guard unaccepted-start-is-withdrawn pkg/scheduler/sync.go 's/!s.domainClosed \&\& publisher/publisher/' pkg/scheduler TestUnacceptedStartInDrainedDomainIsWithdrawn
+guard runs-of-former-owner-go-on pkg/scheduler/draining.go 's/return requestedHere \|\| .*/return requestedHere || true/' pkg/scheduler TestNewOwnerOfDrainedDomainStopsNoRun
+guard drained-capacity-is-not-idle pkg/scheduler/runner_index.go 's/ \&\& !s.domainClosed//' pkg/scheduler TestAllDomainsDrainedHoldAllWork
+guard one-task-is-moved-at-a-time pkg/scheduler/moving.go 's/case t.moving \&\& !t.atWork\(now\):/case false:/' pkg/scheduler TestLongRunningTasksAreMovedOneAtATime
+guard unavailable-tasks-count pkg/scheduler/moving.go 's/limit == 0 \|\| unavailable < limit/true || unavailable < limit/' pkg/scheduler TestLongRunningTasksThatMayNotMoveStay
+guard room-is-held-for-moves pkg/scheduler/choosing.go 's/publisher.Subtract\(s.free\(\), s.held\(t\)\)/s.free()/' pkg/scheduler TestRoomIsHeldForTaskOnItsWay
+guard cold-runner-is-loaded-in-steps pkg/scheduler/choosing.go 's/!c.tooCold\(now, s, t.spec\(\)\) \&\& //' pkg/scheduler TestColdRunnerIsLoadedInSteps
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
