--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -261,7 +261,7 @@
 guard next-owner-of-workers-needs-proof pkg/placer/reconcile.go '/c.requireFor\(w, t\)/d' pkg/placer TestEndOfGivenUpStartIsNotForgottenByNextOwner
 guard no-forget-without-proof pkg/placer/output.go 's/if c.workers\[address\].expiry.due/if false/' pkg/placer TestEndOfGivenUpStartIsNotForgottenWithoutProof
 guard drained-domain-gets-no-start pkg/scheduler/refusal.go 's/case s.domainClosed:/case false:/' pkg/scheduler TestFullDomainThatIsOrderedDrainedGetsNoStart
-guard drained-domain-gets-no-start-at-random pkg/scheduler/refusal.go 's/case s.domainClosed:/case false:/' $simulation TestDrainingUnderFaults/seed-1
+guard former-start-is-not-requested-again pkg/scheduler/sync.go 's/!s.domainClosed \&\& c.ordersKnown/c.ordersKnown/' pkg/scheduler TestNewOwnerOfDrainedDomainStopsNoRun
 guard orders-without-rows-are-gone pkg/controller/orders.go 's/if whole \{/if false {/' pkg/controller TestOrdersAfterLostHistory
 guard next-owner-knows-the-orders pkg/controller/loading.go '/o.cell.SetOrders\(/d' pkg/controller TestNextOwnerKnowsTheOrders
 guard old-start-is-not-carried-out pkg/supervisor/commands.go 's/timely := .*/timely := true/' pkg/supervisor TestCutOffAgentCarriesOutNoOldStart
