--- a/pkg/supervisor/agent.go
+++ b/pkg/supervisor/agent.go
@@ -25,6 +25,9 @@
 	// maxLinkBodyBytes bounds the request bodies of HTTP calls to the link
 	// address.
 	maxLinkBodyBytes = 4 << 10
+	// maxStartDelay is the longest time from the decision to call the runner until the
+	// call is made.
+	maxStartDelay = 500 * time.Millisecond
 )
 
 // Dependencies are the collaborators of an agent.
@@ -233,14 +236,14 @@
 func (a *Agent) tick(now time.Time) time.Duration {
 	actions, wake := a.core.Tick(now)
 	for _, action := range actions {
-		a.perform(action)
+		a.perform(now, action)
 	}
 	counts := a.core.Counts
 	a.metrics.Store(&counts)
 	return wake
 }
 
-func (a *Agent) perform(action Action) {
+func (a *Agent) perform(now time.Time, action Action) {
 	switch {
 	case action.Report != nil:
 		if a.owner != nil {
@@ -259,7 +262,7 @@
 		a.group.Go(func() error {
 			call := *action.Start
 			began := time.Now()
-			answer, err := a.runner.Start(a.ctx, call.Header, call.Start)
+			answer, err := a.start(now, call)
 			a.startLatency.Record(time.Since(began))
 			a.loop.Post(func(now time.Time) { a.startAnswered(now, call, answer, err) })
 			return nil
@@ -281,6 +284,17 @@
 	}
 }
 
+// start calls the runner, unless the process was stopped since the call was decided on: the
+// start may have lapsed meanwhile.
+func (a *Agent) start(decidedAt time.Time, call StartCall) (Answer, error) {
+	if late := a.loop.Now().Sub(decidedAt); late > maxStartDelay {
+		return Answer{}, &NotSentError{
+			Cause: "decided on " + late.String() + " ago",
+		}
+	}
+	return a.runner.Start(a.ctx, call.Header, call.Start)
+}
+
 func (a *Agent) leaseRenewed(now time.Time, call RenewCall, l Listing, err error) {
 	refuted := a.core.Counts.RefutedClaims
 	before := a.core.listedAt
--- a/pkg/supervisor/cut_off_test.go
+++ b/pkg/supervisor/cut_off_test.go
@@ -1,12 +1,16 @@
 package supervisor
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/bilberrywalk/bilberrywalk/pkg/clocker"
+	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 )
 
@@ -63,3 +67,26 @@
 		assert.Equal(t, h.countOpen(isStart), 0)
 	})
 }
+
+// The agent's process is stopped between the decision to call the runner and the call.
+func TestStartThatWasDecidedOnLongAgoIsNotSent(t *testing.T) {
+	calls := 0
+	a := NewAgent(configurer.Fleet{}, Dependencies{
+		Log:   hclog.NewNullLogger(),
+		Clock: clocker.New(),
+		Runner: Runner{
+			Start: func(context.Context, CallHeader, framer.RunStart) (Answer, error) {
+				calls++
+				return Answer{}, nil
+			},
+		},
+	})
+	decidedAt := time.Unix(1000, 0)
+	for _, late := range []time.Duration{maxStartDelay, 6 * time.Second} {
+		a.loop.Now = func() time.Time { return decidedAt.Add(late) }
+		_, err := a.start(decidedAt, StartCall{})
+		var notSent *NotSentError
+		assert.Equal(t, errors.As(err, &notSent), late > maxStartDelay)
+	}
+	assert.Equal(t, calls, 1)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -275,5 +275,6 @@
 guard unavailable-tasks-count pkg/scheduler/moving.go 's/limit == 0 \|\| unavailable < limit/true || unavailable < limit/' pkg/scheduler TestLongRunningTasksThatMayNotMoveStay
 guard room-is-held-for-moves pkg/scheduler/choosing.go 's/publisher.Subtract\(s.free\(\), s.held\(t\)\)/s.free()/' pkg/scheduler TestRoomIsHeldForTaskOnItsWay
 guard cold-runner-is-loaded-in-steps pkg/scheduler/choosing.go 's/!c.tooCold\(now, s, t.spec\(\)\) \&\& //' pkg/scheduler TestColdRunnerIsLoadedInSteps
+guard stopped-agent-sends-no-old-start pkg/supervisor/agent.go 's/late > maxStartDelay \{/late < 0 {/' pkg/supervisor TestStartThatWasDecidedOnLongAgoIsNotSent
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
