--- a/pkg/server/conn.go
+++ b/pkg/server/conn.go
@@ -85,11 +85,7 @@
 // prepare begins to wait for a request or for the rest of one.
 func (c *conn) prepare() {
 	if c.scanner.phase == phaseIdle || c.current.HeadBytes == 0 {
-		var b Bounds
-		if c.bounds != nil {
-			b = c.bounds()
-		}
-		c.current = b.orDefaults(c.maxBodyBytes)
+		c.takeBounds()
 	}
 	if c.responding || c.since.IsZero() {
 		c.responding = false
@@ -101,6 +97,25 @@
 	c.answering = 0
 }
 
+// takeBounds takes the bounds that are in force now.
+func (c *conn) takeBounds() {
+	var b Bounds
+	if c.bounds != nil {
+		b = c.bounds()
+	}
+	c.current = b.orDefaults(c.maxBodyBytes)
+}
+
+// mayIdle reports whether an idle connection has more time by the bounds that are in force
+// now, which may have changed while it waited.
+func (c *conn) mayIdle(now time.Time) bool {
+	if c.scanner.phase != phaseIdle {
+		return false
+	}
+	c.takeBounds()
+	return now.Before(c.current.deadline(&c.scanner, c.since))
+}
+
 // lateness is how a call of Read stands to the deadline: after it, one more read gets what
 // has arrived while the process was not running.
 type lateness int
@@ -144,6 +159,8 @@
 		return n, nil
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return 0, err
+	case c.mayIdle(time.Now()):
+		return 0, nil
 	case *late == onTime:
 		*late = lastRead
 		return 0, nil
--- a/pkg/server/limiter.go
+++ b/pkg/server/limiter.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,17 +60,17 @@
 
 // limiter bounds the connections of a process and the bytes of their unfinished requests.
 type limiter struct {
-	lines *rate.Limiter
+	lines      *rate.Limiter
+	suppressed atomic.Int64
 	// collector is nil in a limiter that is not the process's.
 	collector *collector
 
-	mu         sync.Mutex
-	log        hclog.Logger
-	suppressed int
-	memory     int64
-	budget     int
-	maxConns   int
-	conns      map[*conn]struct{}
+	mu       sync.Mutex
+	log      hclog.Logger
+	memory   int64
+	budget   int
+	maxConns int
+	conns    map[*conn]struct{}
 	// held is what all connections hold, and leaving what those of them hold that are
 	// being closed for lack of room.
 	held         int
@@ -269,12 +270,13 @@
 // record counts a refusal and logs it, unless many were logged just now.
 func (l *limiter) record(why cause, peer string) {
 	refusals.Add(string(why), 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if !l.lines.Allow() {
-		l.suppressed++
+		l.suppressed.Add(1)
 		return
 	}
-	l.log.Warn("connection refused", "cause", string(why), "status", why.status(), "peer", peer, "suppressed", l.suppressed)
-	l.suppressed = 0
+	l.mu.Lock()
+	log := l.log
+	l.mu.Unlock()
+	// The write of a line may take long, so it is made without the lock.
+	log.Warn("connection refused", "cause", string(why), "status", why.status(), "peer", peer, "suppressed", l.suppressed.Swap(0))
 }
