--- a/pkg/server/bounds.go
+++ b/pkg/server/bounds.go
@@ -18,7 +18,9 @@
 }
 
 const (
-	defaultHeadBytes   = 16 << 10
+	defaultHeadBytes = 16 << 10
+	// maxHeadBytes is the largest head that the HTTP library takes.
+	maxHeadBytes       = 1 << 20
 	defaultHeadTimeout = 10 * time.Second
 	// minBytesPerSecond is the rate at which a head or body may arrive however long it
 	// takes.
@@ -37,6 +39,7 @@
 	if b.HeadBytes <= 0 {
 		b.HeadBytes = defaultHeadBytes
 	}
+	b.HeadBytes = min(b.HeadBytes, maxHeadBytes)
 	if b.BodyBytes <= 0 || b.BodyBytes > maxBodyBytes {
 		b.BodyBytes = maxBodyBytes
 	}
