experimenter: speculative tasks that fail late

Cause: the simulation passed without the rule that a copy leaves one permitted failure: of the runs that were late enough for a copy, none failed.

Change: one straggler in three fails at its end, and 15 % of the runs at the usual time. Two guards show the simulation red.

--- a/pkg/experimenter/steps_copies_test.go
+++ b/pkg/experimenter/steps_copies_test.go
@@ -30,13 +30,16 @@
 	}
 }
 
-// stragglers makes one run in ten of a task take longer, or as long as usual and fail.
+// stragglers makes three runs of a task in twenty take longer, of which one fails at its
+// end, and three others fail after the usual time.
 func (sim *stepsSimulation) stragglers(*stepsAgent, framer.RunRef) (time.Duration, framer.FinishReason) {
 	d := time.Duration(600+sim.rnd.IntN(600)) * time.Millisecond
 	switch n := sim.rnd.IntN(20); {
-	case n < 2:
+	case n < 1:
+		return stragglerFactor * d, framer.FinishFailed
+	case n < 3:
 		return stragglerFactor * d, framer.FinishDone
-	case n < 4:
+	case n < 6:
 		return d, framer.FinishFailed
 	default:
 		return d, framer.FinishDone
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -240,6 +240,8 @@
 guard loser-is-stopped pkg/scheduler/finished_run.go 's/^\tc.stop\(t.current\)//' pkg/scheduler TestLoserIsStoppedWhileItsJobGoesOn
 guard cancellation-stops-copies pkg/scheduler/cell.go 's/c.stopAll\(t\)/c.stop(t)/' pkg/scheduler TestCancellationStopsBothRuns
 guard ack-waits-for-the-other-start pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' pkg/scheduler TestEndIsAckedOnceTheCopyCannotStart
+guard no-start-after-an-acknowledged-end pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' $simulation TestSpeculativeStepsUnderFaults
+guard no-copy-after-the-last-failure pkg/scheduler/copies.go 's/t.failures\+1 < c.terms\(t.job\).MaxFailures/true/' $simulation TestSpeculativeStepsUnderFaults
 guard copies-count-in-the-row pkg/scheduler/copies.go 's/ \&\& t.job.rowRoom\(\) >= copyRowRoom//' pkg/scheduler TestRowsWithCopies
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
