scheduler: test where copies run

Cause: no test covered the choice of the runner of a copy.

Change: TestCopyRunsElsewhere and TestNoCopyOnRunnersWithFaults, with three guards, which turn red.

--- a/pkg/scheduler/copies_test.go
+++ b/pkg/scheduler/copies_test.go
@@ -227,6 +227,42 @@
 	h.assertCounts(1, 0, 0)
 }
 
+// Guards against a copy that the same fault takes.
+func TestCopyRunsElsewhere(t *testing.T) {
+	for name, change := range map[string]func(b *framer.RunnerInfo){
+		"another instance":       func(b *framer.RunnerInfo) { b.Address = "10.0.0.1:81" },
+		"another failure domain": func(b *framer.RunnerInfo) { b.FailureDomain = "z1" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b", "c")
+			for agent, r := range h.runners {
+				r.Runner.Address = map[string]string{"a": "10.0.0.1:80", "b": "10.0.0.2:80", "c": "10.0.0.3:80"}[agent]
+				r.Runner.FailureDomain = map[string]string{"a": "z1", "b": "z2", "c": "z3"}[agent]
+			}
+			change(&h.runners["b"].Runner)
+			first, second := h.startPair()
+			assert.Equal(t, h.started[first], "a")
+			assert.Equal(t, h.started[second], "c")
+		})
+	}
+}
+
+// Guards against copies that fail, or are late, for the fault of their runner.
+func TestNoCopyOnRunnersWithFaults(t *testing.T) {
+	for name, fault := range map[string]func(s *runnerState){
+		"failed runs": func(s *runnerState) { s.failedJobs = []string{"other"} },
+		"stalled":     func(s *runnerState) { s.stalled = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newCopyHarness(t, "a", "b")
+			fault(h.cell.agents["b"])
+			h.add("j", "checks", speculativeStep(1, 1000))
+			h.pass(4 * time.Second)
+			h.assertCounts(0, 0, 0)
+		})
+	}
+}
+
 // Guards against copies that crowd a service when many of its tasks are late.
 func TestManyTasksLateAtOnceStayWithinBudget(t *testing.T) {
 	h := newCopyHarness(t, "a", "b", "c", "d")
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -234,6 +234,9 @@
 guard copies-have-a-budget pkg/speculator/speculator.go 's/case !u.allows\(t.Millis\):/case false:/' pkg/scheduler TestManyTasksLateAtOnceStayWithinBudget
 guard hung-runner-is-late pkg/speculator/speculator.go 's/^\treturn max\(projected-r.Elapsed, r.Elapsed\), true/\treturn 0, false/' pkg/scheduler TestTaskOfRunnerThatHangsGetsCopy
 guard progress-shows-lateness pkg/speculator/speculator.go 's/projected >= portion/false \&\& projected >= portion/' pkg/scheduler TestSlowRunnerIsKnownByProgress
+guard copies-run-on-another-instance pkg/scheduler/copies.go 's/ \|\| sameInstance\(s, t.runner\)//' pkg/scheduler TestCopyRunsElsewhere
+guard copies-run-in-another-domain pkg/scheduler/copies.go 's/domain != "" \&\& domain == .*\{/domain != domain {/' pkg/scheduler TestCopyRunsElsewhere
+guard copies-avoid-faulty-runners pkg/scheduler/copies.go 's/if penalty > penaltyOtherRack \{/if false {/' pkg/scheduler TestNoCopyOnRunnersWithFaults
 guard copies-fit-their-runner pkg/scheduler/copies.go 's/!c.mayPlace\(now, s, \&w, t\)/!c.mayPlace(now, s, \&w, t) \&\& false/; s/^\t\tif order.value.*/\t\tif false {/' pkg/scheduler TestNoCopyWhileAllRunnersAreBusy
 guard next-owner-knows-copies pkg/scheduler/task.go 's/if t.listedCopy \{/if false {/' pkg/scheduler TestNextOwnerKnowsBothRuns
 guard remaining-run-takes-over pkg/scheduler/second_run.go 's/^\t\tc.replaceCurrent\(other\)/\t\tt.copy = nil/' pkg/scheduler TestInstanceOfOneRunIsLost
