--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -241,12 +241,17 @@
 guard copies-have-a-budget pkg/speculator/speculator.go 's/case !u.allows\(t.Millis\):/case false:/' pkg/scheduler TestManyTasksLateAtOnceStayWithinBudget
 guard hung-runner-is-late pkg/speculator/speculator.go 's/^\treturn max\(projected-r.Elapsed, r.Elapsed\), true/\treturn 0, false/' pkg/scheduler TestTaskOfRunnerThatHangsGetsCopy
 guard progress-shows-lateness pkg/speculator/speculator.go 's/projected >= portion/false \&\& projected >= portion/' pkg/scheduler TestSlowRunnerIsKnownByProgress
+guard copies-run-on-another-instance pkg/scheduler/copies.go 's/ \|\| sameInstance\(s, t.runner\)//' pkg/scheduler TestCopyRunsElsewhere
+guard copies-run-in-another-domain pkg/scheduler/copies.go 's/domain != "" \&\& domain == .*\{/domain != domain {/' pkg/scheduler TestCopyRunsElsewhere
+guard copies-avoid-faulty-runners pkg/scheduler/copies.go 's/if penalty > penaltyOtherRack \{/if false {/' pkg/scheduler TestNoCopyOnRunnersWithFaults
 guard copies-fit-their-runner pkg/scheduler/copies.go 's/!c.mayPlace\(now, s, \&w, t\)/!c.mayPlace(now, s, \&w, t) \&\& false/; s/^\t\tif order.value.*/\t\tif false {/' pkg/scheduler TestNoCopyWhileAllRunnersAreBusy
 guard next-owner-knows-copies pkg/scheduler/task.go 's/if t.listedCopy \{/if false {/' pkg/scheduler TestNextOwnerKnowsBothRuns
 guard remaining-run-takes-over pkg/scheduler/second_run.go 's/^\t\tc.replaceCurrent\(other\)/\t\tt.copy = nil/' pkg/scheduler TestInstanceOfOneRunIsLost
 guard loser-is-stopped pkg/scheduler/finished_run.go 's/^\tc.stop\(t.current\)//' pkg/scheduler TestLoserIsStoppedWhileItsJobGoesOn
 guard cancellation-stops-copies pkg/scheduler/cell.go 's/c.stopAll\(t\)/c.stop(t)/' pkg/scheduler TestCancellationStopsBothRuns
 guard ack-waits-for-the-other-start pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' pkg/scheduler TestEndIsAckedOnceTheCopyCannotStart
+guard no-start-after-an-acknowledged-end pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' $simulation TestSpeculativeStepsUnderFaults
+guard no-copy-after-the-last-failure pkg/scheduler/copies.go 's/t.failures\+1 < c.terms\(t.job\).MaxFailures/true/' $simulation TestSpeculativeStepsUnderFaults
 guard copies-count-in-the-row pkg/scheduler/copies.go 's/ \&\& t.job.rowRoom\(\) >= copyRowRoom//' pkg/scheduler TestRowsWithCopies
 guard finite-starts-wait-for-the-higher-epoch pkg/scheduler/sync.go 's/c.cfg.Epoch >= s.fenceEpoch \|\| //; s/return t.spec\(\).LongRunning$/return true/' pkg/scheduler TestDelayedAckToFormerIncarnationDropsNoEnd
 guard released-runs-are-stored pkg/scheduler/cell.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
