reserver: a reservation expires 30 s after the promised time at the latest

cause: the time until it expires was as long as the promised wait, so behind runs of an hour that overran their estimates a runner could idle for an hour. change: at most 30 s. after: TestReservationExpiresWithinBounds.

--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -17,6 +17,9 @@
 	// minGrace is the least time after the promised one at which a reservation expires.
 	// It covers two listings of a runner and the commit of their ends.
 	minGrace = time.Second
+	// maxGrace is the longest such time: what is free there idles meanwhile, since nothing
+	// is backfilled after the promised time.
+	maxGrace = 30 * time.Second
 	// minMoveGain is the least time by which another room must be earlier for a
 	// reservation to move there, and moveShare the part of the remaining wait by which
 	// it must. Estimates vary by more than that between two finished runs.
@@ -76,10 +79,15 @@
 	StartsAt   time.Time
 }
 
-// ExpiresAt returns when the reservation expires: as long after the promised time as that
-// was after the reservation was made, since estimates are off by up to a factor of two.
+// ExpiresAt returns when the reservation expires.
 func (r *Reservation) ExpiresAt() time.Time {
-	return r.PromisedAt.Add(max(minGrace, r.PromisedAt.Sub(r.MadeAt)))
+	return r.PromisedAt.Add(r.grace())
+}
+
+// grace returns how long after the promised time the reservation expires: as long as that
+// was after it was made, since estimates are off by up to a factor of two, within bounds.
+func (r *Reservation) grace() time.Duration {
+	return min(maxGrace, max(minGrace, r.PromisedAt.Sub(r.MadeAt)))
 }
 
 // BackfillUntil returns the time by which other tasks on the runners must end. Once the
@@ -360,12 +368,12 @@
 	r.record(Dropped, held)
 }
 
-// expire ends a reservation whose room did not become free. For as long as the need had
-// been promised, it gets none on these runners.
+// expire ends a reservation whose room did not become free. For as long as it outlasted
+// the promised time, the need gets none on these runners.
 func (r *Reserver) expire(now time.Time, held *Reservation) {
 	r.counts.Expired++
 	r.record(Expired, held)
-	until := now.Add(max(minGrace, held.PromisedAt.Sub(held.MadeAt)))
+	until := now.Add(held.grace())
 	for _, p := range held.Parts {
 		r.expired[expiredAt{need: held.Need, runner: p.Runner}] = until
 	}
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -183,3 +183,14 @@
 		assertReserved(t, newReserver(1).Plan(start, []Need{need("j", 0, 8, 1)}, runners)[0], after(3), "b")
 	}
 }
+
+// A runner must not idle for an hour because runs of an hour overran their estimates.
+func TestReservationExpiresWithinBounds(t *testing.T) {
+	for promised, grace := range map[int]int{0: 1, 2: 2, 3600: 30} {
+		r := Reservation{
+			MadeAt:     start,
+			PromisedAt: after(promised),
+		}
+		assert.DeepEqual(t, r.ExpiresAt(), after(promised+grace))
+	}
+}
