scheduler: a new owner does not limit the wait for delayed calls at first

The new owner knows the second incarnation only, so it limited the wait for the third one to what calls to the second state, while calls to the first one may still arrive, with leases that end later by the clock of the third.

The first owner of a cell has seen all incarnations.

Guard: former-owner-may-have-seen-other-incarnations.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -66,6 +66,8 @@
 	committed uint64
 	// requiredEpoch is the epoch to which the owner must raise its own.
 	requiredEpoch uint64
+	// succeeds is set if the cell had an owner before.
+	succeeds bool
 	// commitLimit is the largest number of rows in the next commit; rejected
 	// lists the jobs whose rows the store rejected.
 	commitLimit int
@@ -113,6 +115,7 @@
 	models := newInterference()
 	return &Cell{
 		cfg:          cfg,
+		succeeds:     cfg.Epoch > 1,
 		queues:       &Queues{},
 		jobs:         map[string]*job{},
 		runners:      map[framer.RunnerKey]*runnerState{},
--- a/pkg/scheduler/delayed_lease.go
+++ b/pkg/scheduler/delayed_lease.go
@@ -25,6 +25,10 @@
 // what that one may still get from those before it.
 func (c *Cell) expectDelayedCalls(now time.Time, s, old *runnerState) {
 	s.delayedUntilMillis = max(s.delayedUntilMillis, old.latestLeaseMillis(c.cfg.FormerLeasesEnd))
+	if c.succeeds && now.Before(c.cfg.FormerLeasesEnd.Add(maxCallDelay)) {
+		// Calls to incarnations that only the former owner has seen may still arrive.
+		s.delayedUntilMillis = unknownLease
+	}
 	if now.Before(old.delayedCallsEnd) {
 		s.delayedUntilMillis = max(s.delayedUntilMillis, old.delayedUntilMillis)
 	}
--- a/pkg/scheduler/delayed_lease_test.go
+++ b/pkg/scheduler/delayed_lease_test.go
@@ -14,9 +14,11 @@
 	const longestLease = 10 * time.Second
 	// delayedLease returns the longest delayed lease that is waited for after the restarts
 	// of a runner, by the clocks of the earlier incarnations and of the present one.
+	var succeeds bool
 	delayedLease := func(t *testing.T, former time.Duration, clocks ...time.Duration) time.Duration {
 		t.Helper()
 		h := newCellHarness(t, "a")
+		h.cell.succeeds = succeeds
 		h.cell.cfg.LongestLease = longestLease
 		h.cell.cfg.FormerLeasesEnd = h.now.Add(former)
 		r := h.runners["a"]
@@ -45,4 +47,9 @@
 	t.Run("calls to an incarnation before the earlier one", func(t *testing.T) {
 		assert.Equal(t, delayedLease(t, 0, 2*hour, hour, hour), longest)
 	})
+	t.Run("a former owner may have seen other incarnations", func(t *testing.T) {
+		succeeds = true
+		assert.Equal(t, delayedLease(t, 0, hour, hour), longest)
+		assert.Equal(t, delayedLease(t, -maxCallDelay, hour, hour), MaxLease(testLease))
+	})
 }
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -230,6 +230,7 @@
 guard released-runs-without-room-are-unknown pkg/scheduler/released_runs.go 's/t.released.upTo = t.run$/_ = t/' pkg/scheduler TestReleasedRunsAreStored
 guard delayed-calls-state-their-leases pkg/scheduler/report.go '/^\ts.limitDelayedLease\(\)$/d' pkg/scheduler TestTaskOfRunnerThatIsLostBeforeItIsFenced
 guard former-owner-may-have-stated-later-leases pkg/scheduler/delayed_lease.go 's/former := max.*/former := 0*time.Second/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
+guard former-owner-may-have-seen-other-incarnations pkg/scheduler/delayed_lease.go 's/if c.succeeds .*\{/if false {/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
 guard calls-to-any-earlier-incarnation-count pkg/scheduler/delayed_lease.go 's/if now.Before\(old.delayedCallsEnd\) \{/if false {/' pkg/scheduler TestDelayedLeaseEndsWithWhatCallsCanState
 guard claimed-runner-is-not-watched pkg/scheduler/leases.go 's/unclaimed := .*/unclaimed := true/' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
 guard claims-are-reported pkg/supervisor/core.go '/Claimed: +c.claimedAgain\(\),$/d' $simulation TestAcceptedStartMayHaveReachedLaterIncarnation
