--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -71,11 +71,10 @@
 // FleetDefaults returns the defaults of the settings that a file may omit.
 func FleetDefaults() Fleet {
 	return Fleet{
-		LogLevel:        "info",
-		LongestLease:    publisher.Duration(6 * time.Second),
-		RestartWithin:   publisher.Duration(9 * time.Second),
-		MaxReservations: 4,
-		Grace:           publisher.Duration(6 * time.Second),
+		LogLevel:      "info",
+		LongestLease:  publisher.Duration(6 * time.Second),
+		RestartWithin: publisher.Duration(9 * time.Second),
+		Grace:         publisher.Duration(6 * time.Second),
 	}
 }
 
--- a/pkg/configurer/page_test.go
+++ b/pkg/configurer/page_test.go
@@ -30,7 +30,7 @@
 		"`entry.max-body-bytes = 1048576`, `entry.cell = \"cell-1\"`, `entry.commit-interval = \"100ms\"`. " +
 		"`bilberrywalk check-settings FILE` checks a file.\n"
 	page += pageSection(t, "Settings of a process on a platform with a store", "fleet.go", "Fleet")
-	page += "\nDefaults: `log-level = \"info\"`, `longest-lease = \"6s\"`, `restart-within = \"9s\"`, `max-reservations = 4`, `grace = \"6s\"`. " +
+	page += "\nDefaults: `log-level = \"info\"`, `longest-lease = \"6s\"`, `restart-within = \"9s\"`, `grace = \"6s\"`. " +
 		"`bilberrywalk fleet check --settings FILE` checks a file; SIGHUP puts a new `log-level` in force.\n"
 	page += pageSection(t, "Service documents", "../publisher/document.go", "Document")
 	page += "\n`bilberrywalk check-settings --document FILE` checks a document.\n"
