--- a/pkg/server/conn_test.go
+++ b/pkg/server/conn_test.go
@@ -318,3 +318,43 @@
 		}
 	}
 }
+
+// repeatingConn is a connection on which the same request arrives again and again.
+type repeatingConn struct {
+	net.Conn
+	request []byte
+}
+
+// Read implements net.Conn.
+func (c *repeatingConn) Read(p []byte) (int, error) { return copy(p, c.request), nil }
+
+// Write implements net.Conn.
+func (c *repeatingConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// SetReadDeadline implements net.Conn.
+func (c *repeatingConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline implements net.Conn.
+func (c *repeatingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// BenchmarkConn measures what the bounds add to one request, without the network.
+func BenchmarkConn(b *testing.B) {
+	c := &conn{
+		Conn: &repeatingConn{
+			request: []byte(testHead + "Content-Length: 100\r\n\r\n" + strings.Repeat("a", 100)),
+		},
+		limiter:      newLimiter(Limits{}),
+		maxBodyBytes: 1 << 20,
+	}
+	assert.Assert(b, c.limiter.admit(c, time.Now()))
+	buffer := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Read(buffer); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.Write(buffer[:100]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
