scheduler: plans for rack-local gangs see whole racks

cause: with more than 32 runners a plan sees a part of them, in the order of idle processors. A rack was rarely whole in it, so a rack-local gang got a reservation on several racks although one had room. ruled out: looking at all runners in each plan: the cost would grow with their number. change: while a rack-local gang waits, plans take the runners rack by rack and a whole rack at a time, and give it several racks only after all runners were looked at. after: TestRackLocalGangAmongManyRunnersIsReservedOnOneRack, red by the guard plans-see-whole-racks (3 racks instead of 1).

--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -47,6 +47,9 @@
 	Count int
 	// RackLocal means that the tasks run slower on more than one rack.
 	RackLocal bool
+	// OneRackOnly means that a rack-local need is given no room on several racks, since
+	// a plan sees a part of the runners and the others may have a rack.
+	OneRackOnly bool
 	// MaxPerRunner is the largest number of the tasks on one runner; zero means no
 	// limit.
 	MaxPerRunner int
--- a/pkg/reserver/room.go
+++ b/pkg/reserver/room.go
@@ -65,7 +65,8 @@
 }
 
 // earliest returns the earliest room for a need on the runners that usable accepts.
-// A rack-local need is given the room of one rack if any rack will have enough.
+// A rack-local need is given the room of one rack if any rack will have enough, and
+// otherwise none if OneRackOnly is set.
 func earliest(now time.Time, n *Need, runners []Runner, usable func(*Runner) bool) (room, bool) {
 	if !n.RackLocal {
 		return earliestOn(now, n, runners, usable)
@@ -84,8 +85,8 @@
 			best, found = r, true
 		}
 	}
-	if found {
-		return best, true
+	if found || n.OneRackOnly {
+		return best, found
 	}
 	return earliestOn(now, n, runners, usable)
 }
--- a/pkg/scheduler/explanation.go
+++ b/pkg/scheduler/explanation.go
@@ -185,7 +185,8 @@
 	if c.reservations == nil {
 		return nil, nil
 	}
-	n := c.need(w, t)
+	n := c.need(now, w, t)
+	n.OneRackOnly = false
 	list, runs := c.reservations.runners, c.reservations.runs
 	defer func() { c.reservations.runners, c.reservations.runs = list, runs }()
 	c.reservations.runners, c.reservations.runs = nil, nil
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -53,6 +54,8 @@
 type runnerSweep struct {
 	runners []*runnerState
 	next    int
+	// byRack is set if the runners are sorted by their racks.
+	byRack bool
 }
 
 // newReservations returns nil, which reserves nothing, if the limit is zero.
@@ -187,7 +190,7 @@
 			continue
 		}
 		if t := c.nextTask(now, w); t != nil {
-			p.addNeed(c.need(w, t))
+			p.addNeed(c.need(now, w, t))
 		}
 	}
 }
@@ -229,7 +232,7 @@
 }
 
 // need returns what a task needs, or its gang.
-func (c *Cell) need(w *candidate, t *task) reserver.Need {
+func (c *Cell) need(now time.Time, w *candidate, t *task) reserver.Need {
 	step := t.spec()
 	n := reserver.Need{
 		Key:          t.needKey(),
@@ -243,6 +246,7 @@
 	if step.Gang {
 		n.Count = step.Count
 		n.RackLocal = step.RackLocal
+		n.OneRackOnly = step.RackLocal && now.Sub(n.Since) < reserveAfter+c.sweepTime(n.Service, n.Count)
 	}
 	if w.urgency > 0 && !step.BestEffort {
 		n.KeepPercent = reservePercent
@@ -299,7 +303,7 @@
 	windows := map[string]int{}
 	for i := range p.needs {
 		n := &p.needs[i]
-		windows[n.Service] = min(maxRunnersPerPlan, max(windows[n.Service], runnersPerPlan, gangWindow*n.Count))
+		windows[n.Service] = max(windows[n.Service], planWindow(n.Count))
 	}
 	for service, window := range windows {
 		for _, s := range c.nextRunners(service, window) {
@@ -308,6 +312,21 @@
 	}
 }
 
+// planWindow returns how many runners a plan looks at for a need of some tasks.
+func planWindow(tasks int) int {
+	return min(maxRunnersPerPlan, max(runnersPerPlan, gangWindow*tasks))
+}
+
+// sweepTime returns the time by which plans have looked at all runners of a service for a
+// need, whatever part of a sweep was over when it began to wait.
+func (c *Cell) sweepTime(service string, tasks int) time.Duration {
+	runners, window := len(c.index.service(service).byIdle.runners), planWindow(tasks)
+	if runners <= window {
+		return 0
+	}
+	return 2 * time.Duration(runners/window+1) * placementInterval
+}
+
 // nextRunners returns the next runners of a service to look at.
 func (c *Cell) nextRunners(service string, window int) []*runnerState {
 	p := c.reservations
@@ -319,12 +338,26 @@
 	if sweep.next >= len(sweep.runners) {
 		sweep.runners = append(sweep.runners[:0], c.index.service(service).byIdle.runners...)
 		sweep.next = 0
+		sweep.byRack = slices.ContainsFunc(p.needs, func(n reserver.Need) bool { return n.RackLocal && n.Service == service })
+		if sweep.byRack {
+			// A plan can reserve one rack only if it looks at the whole of it.
+			slices.SortFunc(sweep.runners, compareRacks)
+		}
+	}
+	end := min(len(sweep.runners), sweep.next+window)
+	for last := min(len(sweep.runners), end+window); sweep.byRack && end < last && slices.Equal(sweep.runners[end-1].info.Labels, sweep.runners[end].info.Labels); {
+		end++
 	}
-	next := sweep.runners[sweep.next:min(len(sweep.runners), sweep.next+window)]
-	sweep.next += len(next)
+	next := sweep.runners[sweep.next:end]
+	sweep.next = end
 	return slices.DeleteFunc(slices.Clone(next), func(s *runnerState) bool { return s.position.removed })
 }
 
+// compareRacks orders runners by their labels, which name their racks.
+func compareRacks(a, b *runnerState) int {
+	return cmp.Or(slices.Compare(a.info.Labels, b.info.Labels), compareKeys(a.key, b.key))
+}
+
 // reservable describes a runner to the Reserver.
 func (c *Cell) reservable(now time.Time, s *runnerState) reserver.Runner {
 	p := c.reservations
@@ -392,7 +425,7 @@
 	if p == nil || p.reserver.On(s.key) == nil {
 		return false
 	}
-	return !p.reserver.Allows(now, s.key, c.need(w, t), c.endsBy(now, t))
+	return !p.reserver.Allows(now, s.key, c.need(now, w, t), c.endsBy(now, t))
 }
 
 // startReserved records a start with regard to reservations.
@@ -408,7 +441,7 @@
 		urgency:    c.terms(t.job).Urgency,
 	}
 	held := p.reserver.For(t.needKey())
-	p.reserver.Started(s.key, c.need(&w, t), c.endsBy(now, t))
+	p.reserver.Started(s.key, c.need(now, &w, t), c.endsBy(now, t))
 	if held != nil {
 		for _, part := range held.Parts {
 			if other := c.runners[part.Runner]; other != nil {
--- a/pkg/scheduler/reservations_test.go
+++ b/pkg/scheduler/reservations_test.go
@@ -368,3 +368,27 @@
 	assert.Equal(t, waits[causeRoomReserved], int64(1))
 	assert.Assert(t, slices.ContainsFunc(l.lines, func(line string) bool { return line[:min(len(line), 16)] == "reservation made" }))
 }
+
+// A plan looks at a part of many runners. It must see whole racks, or a rack-local gang gets
+// a reservation on several.
+func TestRackLocalGangAmongManyRunnersIsReservedOnOneRack(t *testing.T) {
+	l := newLoad(t, 3*runnersPerPlan)
+	for i, agent := range l.agents() {
+		l.runners[agent].Runner.Labels = []string{fmt.Sprintf("rack-%d", i%(runnersPerPlan/2))}
+	}
+	l.reportAll()
+	l.actual = func(framer.RunRef) time.Duration { return time.Hour }
+	l.add("fill", "checks", estimated(newStep(6*runnersPerPlan, 16_000), time.Minute))
+	l.step()
+	gang := newStep(3, 32_000)
+	gang.Gang = true
+	gang.RackLocal = true
+	l.add("gang", "checks", gang)
+	l.run(2 * time.Second)
+	racks := map[string]struct{}{}
+	for _, key := range l.cell.reservations.reserver.Runners() {
+		racks[l.cell.runners[key].info.Labels[0]] = struct{}{}
+	}
+	assert.Equal(t, l.cell.Counts.Reservations.Made, int64(1))
+	assert.Equal(t, len(racks), 1)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -230,6 +230,7 @@
 guard short-tasks-are-backfilled pkg/reserver/reserver.go 's/return !endsBy.IsZero\(\).*/return false/' pkg/scheduler TestTasksThatEndBeforeTheReservationAreBackfilled
 guard reservations-expire pkg/reserver/reserver.go 's/if held != nil \&\& !now.Before\(held.ExpiresAt\(\)\) \{/if false {/; s/ \|\| !now.Before\(held.ExpiresAt\(\)\) \{/ {/' pkg/scheduler TestReservationExpiresIfTheRoomDoesNotBecomeFree
 guard estimates-are-corrected pkg/reserver/estimates.go 's/return c.percentile\(\)$/return 1/' pkg/reserver TestEstimatesAreCorrectedByTheErrorOfFinishedRuns
+guard plans-see-whole-racks pkg/scheduler/reservations.go 's/^\t\t\tslices.SortFunc\(sweep.runners, compareRacks\)/\t\t\t_ = compareRacks/' pkg/scheduler TestRackLocalGangAmongManyRunnersIsReservedOnOneRack
 guard small-tasks-are-packed pkg/scheduler/packing.go 's/^\treturn packed$/\treturn false \&\& packed/' pkg/scheduler TestSmallTasksLeaveTheGapsOfLargeRunnersWhole
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
