--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -31,9 +31,9 @@
 func (c *Cell) chooseSchedulable(now time.Time, w *candidate, t *task, gang []*runnerState) *runnerState {
 	c.index.refresh()
 	service := c.index.service(c.service(w.job))
-	// A runner may be reserved for a suspect that the other tasks of its step cannot
-	// use.
-	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() {
+	// A runner may be reserved for a suspect, or hold room for a task that is moved, that
+	// the other tasks of its step cannot use.
+	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() && t.roomOn == nil {
 		return c.chooseImproved(now, service, change, w, t)
 	}
 	if c.packs(service, t.spec()) {
@@ -100,11 +100,11 @@
 
 // mayPlace reports whether a task may be placed on a runner now.
 func (c *Cell) mayPlace(now time.Time, s *runnerState, w *candidate, t *task) bool {
-	if !s.takes(now, t) {
+	if !s.takes(now, t) || c.tooCold(now, s, t.spec()) {
 		c.index.block(s)
 		return false
 	}
-	return !c.tooCold(now, s, t.spec()) && c.fits(s, w, t) && !c.reservedFromTask(now, s, w, t)
+	return c.fits(s, w, t) && !c.reservedFromTask(now, s, w, t)
 }
 
 // tooBusy reports whether a runner has too few idle processors for a
--- a/pkg/scheduler/moving.go
+++ b/pkg/scheduler/moving.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/publisher"
 )
 
@@ -39,6 +38,7 @@
 		onItsWay := t.runner == nil || t.stopping
 		over := !onItsWay || t.done || t.job.state.Final() || s.domainClosed || !now.Before(s.hold.until)
 		if over {
+			t.roomOn = nil
 			s.hold = hold{}
 			s.index.improved(s)
 		}
@@ -101,6 +101,7 @@
 	c.holders = append(c.holders, target)
 	target.index.worsened(target)
 	t.moving = true
+	t.roomOn = target
 	c.Counts.Moved++
 	c.cfg.LogEvent("task moved out of failure domain", "task", t.name(), "run", t.run, "runner", t.runner.key.ID,
 		"domain", t.runner.info.FailureDomain, "room-on", target.key.ID)
@@ -149,7 +150,7 @@
 	c.index.refresh()
 	service := c.index.service(c.service(t.job))
 	for _, s := range service.byIdle.runners {
-		if s.hold.task == nil && s.takes(now, t) && c.fits(s, &w, t) {
+		if s.hold.task == nil && s.takes(now, t) && !c.tooCold(now, s, t.spec()) && c.fits(s, &w, t) {
 			return s
 		}
 	}
@@ -159,16 +160,8 @@
 // coldSteps is how many steps the load of a cold runner grows in until it is warm.
 const coldSteps = 4
 
-// setCold records how much longer a runner is cold. One that is warmer than before may hold
-// more.
-func (c *Cell) setCold(now time.Time, s *runnerState, info framer.RunnerInfo) {
-	left := time.Duration(info.ColdMillis) * time.Millisecond
-	if left == 0 && s.coldUntil.IsZero() {
-		return
-	}
-	if c.cfg.ColdRuns > 0 {
-		s.index.improved(s)
-	}
+// setCold records how much longer the runner is cold.
+func (s *runnerState) setCold(now time.Time, left time.Duration) {
 	switch {
 	case left == 0:
 		s.coldSince, s.coldUntil = time.Time{}, time.Time{}
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -87,7 +87,7 @@
 	}
 	s.reported = true
 	s.reportedBy(now, agent)
-	c.setCold(now, s, info)
+	s.setCold(now, time.Duration(info.ColdMillis)*time.Millisecond)
 	c.updateDomain(s)
 	c.agents[agent] = s
 	if info.Left {
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -144,6 +144,8 @@
 	// is set from the stop that moves the task until it is at work again.
 	up     bool
 	moving bool
+	// roomOn is the runner that holds room for the task while it is moved.
+	roomOn *runnerState
 	// stopping is set while a stop is requested for the run.
 	stopping bool
 	// placedAt is when the run was placed, or when this owner read that it was; known is
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -272,7 +272,6 @@
 guard orders-without-rows-are-gone pkg/controller/orders.go 's/if whole \{/if false {/' pkg/controller TestOrdersAfterLostHistory
 guard next-owner-knows-the-orders pkg/controller/loading.go '/o.cell.SetOrders\(/d' pkg/controller TestNextOwnerKnowsTheOrders
 guard old-start-is-not-carried-out pkg/supervisor/commands.go 's/timely := .*/timely := true/' pkg/supervisor TestCutOffAgentCarriesOutNoOldStart
-guard old-start-is-not-carried-out-at-random pkg/supervisor/commands.go 's/timely := .*/timely := true/' $simulation TestDrainingUnderFaults
 guard unread-listing-tells-no-time pkg/supervisor/lease.go 's/clockMillis > c.clockByNow\(now\)/true/' pkg/supervisor TestCutOffAgentCarriesOutNoOldStart
 guard old-orders-start-nothing pkg/scheduler/draining.go 's/return c.cfg.DrainWithin == 0 .*/return true/' pkg/scheduler TestOwnerWithOldReadingOfOrdersStartsNothing
 guard unaccepted-start-is-withdrawn pkg/scheduler/sync.go 's/!s.domainClosed \&\& publisher/publisher/' pkg/scheduler TestUnacceptedStartInDrainedDomainIsWithdrawn
@@ -281,7 +280,7 @@
 guard one-task-is-moved-at-a-time pkg/scheduler/moving.go 's/case t.moving \&\& !t.atWork\(now\):/case false:/' pkg/scheduler TestLongRunningTasksAreMovedOneAtATime
 guard unavailable-tasks-count pkg/scheduler/moving.go 's/limit == 0 \|\| unavailable < limit/true || unavailable < limit/' pkg/scheduler TestLongRunningTasksThatMayNotMoveStay
 guard room-is-held-for-moves pkg/scheduler/choosing.go 's/publisher.Subtract\(s.free\(\), s.held\(t\)\)/s.free()/' pkg/scheduler TestRoomIsHeldForTaskOnItsWay
-guard cold-runner-is-loaded-in-steps pkg/scheduler/choosing.go 's/!c.tooCold\(now, s, t.spec\(\)\) \&\& //' pkg/scheduler TestColdRunnerIsLoadedInSteps
+guard cold-runner-is-loaded-in-steps pkg/scheduler/choosing.go 's/ \|\| c.tooCold\(now, s, t.spec\(\)\)//' pkg/scheduler TestColdRunnerIsLoadedInSteps
 guard stopped-agent-sends-no-old-start pkg/supervisor/agent.go 's/late > maxStartDelay \{/late < 0 {/' pkg/supervisor TestStartThatWasDecidedOnLongAgoIsNotSent
 guard heads-and-trailers-are-bounded pkg/server/scanner.go 's/s.part > b.HeadBytes\+len\("\\r\\n"\)/s.part < 0/' pkg/server TestScannerBoundsEachPart
 guard chunk-lines-are-bounded pkg/server/scanner.go 's/if s.lineBytes > maxChunkLineBytes \{/if false {/' pkg/server TestScannerBoundsEachPart
@@ -296,5 +295,6 @@
 guard first-frame-is-small pkg/connector/frame_conn.go 's/case !c.greeted \&\& /case false \&\& /' pkg/connector TestUnknownPeersSendSmallFrames
 guard frames-get-memory-as-they-arrive pkg/connector/frame_conn.go 's/min\(n-have, max\(maxReusedBufferBytes, have\)\)/n - have/' pkg/connector TestUnknownPeersSendSmallFrames
 guard operators-limits-are-in-force platform/caller_bounds.go 's/HeadTimeout: queues.HeadTimeout,//' platform TestCallerBoundsFollowTheConfiguration
+guard held-room-is-for-its-task pkg/scheduler/choosing.go 's/ \&\& t.roomOn == nil//' pkg/scheduler TestIndexPlacesLikeScan
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
