ranker: waiting steps are ordered by worth for the work left, with floors by size

Cause: under overload, the batch job with the least remaining work went first, so the largest waited longest, and a job that became late went behind all that were on time.

Change: pkg/ranker orders by floors across queues, whether completion has any worth, urgency, floors of size classes and worth for each unit of remaining work. pkg/scheduler/ordering.go keeps the recent jobs' sizes and what was served.

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -111,6 +111,8 @@
 	Agents int              `json:"agents"`
 	Cell   scheduler.Counts `json:"cell"`
 	Waits  scheduler.Waits  `json:"waits"`
+	// Starts counts the starts of each queue by size class; the owner's.
+	Starts map[string]scheduler.QueueStarts `json:"starts,omitempty"`
 	// Refused counts submissions and cancellations that had no effect, Unknown
 	// those with an unknown outcome.
 	Refused int64            `json:"refused"`
@@ -324,6 +326,7 @@
 	if e.owner.cell != nil {
 		m.Cell = e.owner.cell.Counts
 		m.Waits = e.owner.cell.Waits()
+		m.Starts = e.owner.cell.QueueStarts()
 	}
 	e.metrics.Store(m)
 }
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -75,6 +75,7 @@
 	interference *interference
 	rejections   *rejections
 	waits        *waitMonitor
+	ordering     *ordering
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -125,6 +126,7 @@
 		interference: models,
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
+		ordering:     newOrdering(),
 		placementDue: true,
 	}
 }
@@ -169,6 +171,7 @@
 	}
 	j := newJob(seenAt, spec)
 	c.jobs[spec.ID] = j
+	c.arrived(seenAt, j)
 	c.addUnplaced(j)
 }
 
@@ -194,6 +197,7 @@
 		j.endedAt = time.UnixMilli(p.EndedAtMillis)
 	}
 	c.jobs[spec.ID] = j
+	c.arrived(seenAt, j)
 	c.addUnplaced(j)
 	tasks := j.tasks()
 	if !c.cfg.Assert.Holds(len(tasks) == len(p.Tasks), "progress-fits-job", "job", spec.ID) {
@@ -277,6 +281,9 @@
 func (c *Cell) endJob(now time.Time, j *job, state State) {
 	j.state = state
 	j.endedAt = now
+	if state == StateCompleted {
+		c.recordCompletion(now, j)
+	}
 	c.Counts.JobsEnded++
 	c.cfg.LogEvent("job ended", "job", j.spec.ID, "state", state)
 	c.markChanged(j)
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bilberrywalk/bilberrywalk/pkg/ranker"
 )
 
 const (
@@ -16,33 +18,16 @@
 	// idlePercent is the allocated share of a service's processors, in percent,
 	// below which no job may wait with nothing running.
 	idlePercent = 65
-	// lateFactor is the multiple of its objective up to which a late job still
-	// has some value.
-	lateFactor = 3
-)
-
-// The ranks of a job by the value that its completion still has.
-const (
-	// rankOnTime: the job can still meet its objective.
-	rankOnTime = iota + 1
-	// rankLate: the job is late, but its completion still has some value.
-	rankLate
-	// rankVeryLate: the job's completion has no more value, but it must still
-	// complete.
-	rankVeryLate
 )
 
 // candidate is a step of an occurrence with tasks that may start now.
 type candidate struct {
+	ranker.Entry
 	job        *job
 	occurrence *occurrence
 	step       int
 	urgency    int
-	rank       int
 	dueBy      time.Time
-	// remainingWork is the job's unfinished work by the caller's estimates, in
-	// thousandths of a processor times milliseconds.
-	remainingWork int64
 	// starved is set if the job waited longer than maxIdleWait with nothing
 	// running while there is free capacity.
 	starved bool
@@ -150,6 +135,7 @@
 	}
 	clear(c.unplaced[len(unplaced):])
 	c.unplaced = unplaced
+	c.applyFloors(now)
 	slices.SortFunc(c.waiting, compareCandidates)
 }
 
@@ -164,9 +150,7 @@
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
-		cmp.Compare(a.rank, b.rank),
-		cmp.Compare(a.urgency, b.urgency),
-		cmp.Compare(a.remainingWork, b.remainingWork),
+		a.Key.Compare(&b.Key),
 		a.dueBy.Compare(b.dueBy),
 		cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 		cmp.Compare(a.occurrence.index, b.occurrence.index),
@@ -174,39 +158,6 @@
 	)
 }
 
-func (c *Cell) candidate(now time.Time, j *job, r *occurrence, number int) candidate {
-	w := candidate{
-		job:        j,
-		occurrence: r,
-		step:       number,
-		rank:       rankOnTime,
-
-		starved: c.starved(now, j),
-	}
-	from := j.seenAt
-	if r.dueAt.After(from) {
-		from = r.dueAt
-	}
-	terms := c.terms(j)
-	w.urgency = terms.Urgency
-	objective := time.Duration(terms.Stretch*float64(j.chain)) + terms.TargetLatency
-	w.dueBy = from.Add(objective)
-	if j.spec.Steps[number].LongRunning {
-		return w
-	}
-	for i, s := range j.spec.Steps {
-		w.remainingWork += int64(r.unfinished[i]) * s.Needs.ProcessorMillis * max(1, s.EstimateMillis)
-	}
-	remaining := c.remainingChain(r, j.spec.Steps)
-	if now.Add(remaining).After(w.dueBy) {
-		w.rank = rankLate
-	}
-	if now.Add(remaining).After(from.Add(lateFactor * objective)) {
-		w.rank = rankVeryLate
-	}
-	return w
-}
-
 // starved reports whether a job waited longer than maxIdleWait with nothing
 // running while there is free capacity. From then on, minRunning tasks of the
 // job are kept running.
@@ -237,6 +188,7 @@
 	c.Counts.Starts++
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
 		"free-millis", s.free().ProcessorMillis, "report-age-millis", now.Sub(s.listedAt).Milliseconds(), "queues-version", c.queues.Version)
+	c.recordStart(now, t)
 	c.bind(s, t)
 	if t.record.suspect() {
 		s.beginTrial(now, t)
--- a/pkg/scheduler/placing_test.go
+++ b/pkg/scheduler/placing_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/ranker"
 )
 
 func TestStepWaitsForItsDependencies(t *testing.T) {
@@ -118,7 +119,7 @@
 		}
 		h.cell.Add(h.now, spec)
 		c := h.cell.candidate(h.now, h.cell.jobs[spec.ID], h.cell.jobs[spec.ID].occurrences[0], 0)
-		assert.Equal(t, c.rank, rankOnTime, "%s", ahead)
+		assert.Equal(t, c.Key.Rank, ranker.OnTime, "%s", ahead)
 		assert.Equal(t, c.dueBy, h.now.Add(1750*time.Millisecond), "%s", ahead)
 	}
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/ranker"
 )
 
 // job is the scheduling state of a job.
@@ -41,6 +42,11 @@
 	// chain is the duration of the longest chain of steps, by the caller's
 	// estimates.
 	chain time.Duration
+	// work is the processor time of the whole job by the caller's estimates, standing
+	// what the floors of the order know of the job, and rank its last rank.
+	work     int64
+	standing ranker.Standing
+	rank     ranker.Rank
 }
 
 // occurrence is one occurrence of a job's steps.
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -224,5 +224,7 @@
 guard limits-of-earlier-agent-are-unknown pkg/supervisor/throttler.go 's/case !known \&\& !t.listed:/case false:/' pkg/supervisor TestNewAgentSetsTheSpeedLimitsOfEarlierRuns
 guard lost-speed-limit-is-set-again pkg/supervisor/speed_calls.go 's/if err == nil .*latest \&\& ordered \{/if latest || ordered || true {/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
+guard size-classes-have-floors pkg/ranker/shares.go 's/!q.promoted\[class\] \&\& q.behind\(now, class\)/false/' pkg/ranker TestOverloadServesEachSizeClass
+guard large-jobs-are-promoted pkg/scheduler/ordering.go 's/^\t\tshares.Promote\(now\)/\t\t_ = shares/' pkg/scheduler TestLargeJobsAreServedWhileSmallOnesOverload
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
