estimator: entries refuse jobs that could not complete within their bound

Cause: nothing was refused under overload. Callers waited for jobs that could not complete within 3 times their objective, and jobs that no runner could hold waited for ever.

Change: pkg/estimator estimates the wait of each queue and decides; the owner publishes the estimates in the lease row; an entry refuses a submission only after reading its row from the store. Unknown or old estimates refuse nothing.

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/asserter"
 	"github.com/bilberrywalk/bilberrywalk/pkg/clocker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
+	"github.com/bilberrywalk/bilberrywalk/pkg/estimator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
@@ -85,11 +86,12 @@
 	openRequests atomic.Int64
 	metrics      atomic.Pointer[Metrics]
 	// submits, cancels and commits measure the latency of each operation.
-	submits *measurer.Latency
-	cancels *measurer.Latency
-	commits *measurer.Latency
-	refused atomic.Int64
-	unknown atomic.Int64
+	submits   *measurer.Latency
+	cancels   *measurer.Latency
+	commits   *measurer.Latency
+	admission admission
+	refused   atomic.Int64
+	unknown   atomic.Int64
 
 	// The fields below belong to the control goroutine.
 	cache  *jobCache
@@ -115,11 +117,15 @@
 	Starts map[string]scheduler.QueueStarts `json:"starts,omitempty"`
 	// Refused counts submissions and cancellations that had no effect, Unknown
 	// those with an unknown outcome.
-	Refused int64            `json:"refused"`
-	Unknown int64            `json:"unknown"`
-	Submits measurer.Summary `json:"submits"`
-	Cancels measurer.Summary `json:"cancels"`
-	Commits measurer.Summary `json:"commits"`
+	Refused int64 `json:"refused"`
+	// RefusedFor counts the submissions that were refused by the owner's estimates, by
+	// reason. Estimates holds the estimates that the entry has read.
+	RefusedFor map[string]int64  `json:"refused-for,omitempty"`
+	Estimates  []estimator.Queue `json:"estimates,omitempty"`
+	Unknown    int64             `json:"unknown"`
+	Submits    measurer.Summary  `json:"submits"`
+	Cancels    measurer.Summary  `json:"cancels"`
+	Commits    measurer.Summary  `json:"commits"`
 }
 
 // New returns an entry; Run starts it.
@@ -335,6 +341,10 @@
 func (e *Entry) Metrics() Metrics {
 	m := *e.metrics.Load()
 	m.Refused = e.refused.Load()
+	m.RefusedFor = e.admission.counts()
+	if v := e.admission.view.Load(); v != nil {
+		m.Estimates = v.Report.Queues
+	}
 	m.Unknown = e.unknown.Load()
 	m.Submits = e.submits.Summary()
 	m.Cancels = e.cancels.Summary()
--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -73,9 +73,13 @@
 	if v := e.cachedJob(ctx, spec.ID); v.hasSpec {
 		return nil
 	}
+	if known, err := e.admit(ctx, &spec); known || err != nil {
+		return err
+	}
 	began := e.clock.Now()
 	defer func() { e.submits.Record(e.clock.Now().Sub(began)) }()
 	spec.AcceptedAtMillis = began.UnixMilli()
+	e.admission.begin(spec.ID)
 	err := e.commitJobChange(ctx, storer.Change{
 		Expects: []storer.Expect{{
 			Key: jobKey(spec.ID),
@@ -85,6 +89,8 @@
 			Value: storer.EncodeCBOR(spec),
 		}},
 	})
+	var unknown *OutcomeUnknownError
+	e.admission.end(e.clock.Now(), spec.ID, errors.As(err, &unknown))
 	var mismatch *storer.VersionMismatchError
 	if errors.As(err, &mismatch) {
 		// The job was submitted before; the committed row applies.
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bilberrywalk/bilberrywalk/pkg/estimator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
@@ -84,6 +85,7 @@
 		e.log.Error("lease row cannot be decoded", "error", err)
 		return
 	}
+	e.admission.observe(now, e.cache.lease.Version, row.Load)
 	if !e.owner.lease.Held() && e.owner.write == nil {
 		e.owner.lease.Observe(now, e.cache.lease.Version, row.Lease)
 		e.owner.former.observe(e.cache.lease.Version, row)
@@ -213,6 +215,8 @@
 				RunnerLeaseMillis: e.longestInForce(now).Milliseconds(),
 
 				DelayedLeaseMillis: e.delayedLeaseMillis(now),
+
+				Load: e.loadReport(now, w),
 			}),
 		}},
 	}
@@ -232,6 +236,15 @@
 	e.transmitWrite(now, w)
 }
 
+// loadReport returns the estimates for a write. An owner that has not loaded the cell
+// yet or releases it has none.
+func (e *Entry) loadReport(now time.Time, w *pendingWrite) estimator.Report {
+	if e.owner.cell == nil || w.acquire || w.release {
+		return estimator.Report{}
+	}
+	return e.owner.cell.LoadReport(now)
+}
+
 func (e *Entry) transmitWrite(now time.Time, w *pendingWrite) {
 	w.sentAt = now
 	w.resendAt = time.Time{}
--- a/pkg/controller/rows.go
+++ b/pkg/controller/rows.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bilberrywalk/bilberrywalk/pkg/estimator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 	"github.com/bilberrywalk/bilberrywalk/pkg/scheduler"
 	"github.com/bilberrywalk/bilberrywalk/pkg/storer"
@@ -48,6 +49,8 @@
 	// DelayedLeaseMillis is the time until the last lease expires that a delayed
 	// call can have granted a runner, in milliseconds, by the runner's id.
 	DelayedLeaseMillis map[string]int64 `cbor:"delayed-lease-millis,omitempty"`
+	// Load is the owner's estimate of how long new jobs would wait.
+	Load estimator.Report `cbor:"load,omitzero"`
 }
 
 // jobPartition returns the partition of a job. Jobs are spread over partitions
--- a/pkg/ranker/model_test.go
+++ b/pkg/ranker/model_test.go
@@ -12,11 +12,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// modelCapacity is the capacity of the model in thousandths of a processor, and
-// modelTime how long jobs arrive.
+// modelCapacity is the capacity of the model in thousandths of a processor, round the
+// time between two placements, and modelTime how long jobs arrive.
 const (
 	modelCapacity = 64_000
-	modelTime     = 80 * time.Second
+	// lateWorth is the share of its worth that a late job has for callers.
+	lateWorth = 0.15
+	round     = 20 * time.Millisecond
+	modelTime = 80 * time.Second
 )
 
 // modelStep is a step of a job; its tasks run for a time that the estimate misses.
@@ -130,8 +133,13 @@
 	})
 }
 
+// queueNames are the names of the queues of each urgency.
+var queueNames = []string{"urgent", "", "batch"}
+
 // model plays jobs on a fixed capacity.
 type model struct {
+	// gate refuses jobs; nil if none are.
+	gate    *gate
 	random  *rand.Rand
 	shares  *Shares
 	free    int64
@@ -177,8 +185,7 @@
 		j.steps = append(j.steps, s)
 	}
 	j.objective = time.Duration(stretch*float64(chain)) + target
-	j.queue = m.shares.Queue([]string{"urgent", "", "batch"}[j.urgency])
-	j.standing = j.queue.Arrived(now, j.work)
+	j.queue = m.shares.Queue(queueNames[j.urgency])
 	return j
 }
 
@@ -222,6 +229,9 @@
 	s := &j.steps[j.step]
 	s.running--
 	s.done++
+	if m.gate != nil {
+		m.gate.service.Completed(now, s.millis*s.estimate.Milliseconds(), s.millis*s.duration.Milliseconds())
+	}
 	m.free += s.millis
 	if s.done == s.tasks {
 		j.step++
@@ -236,10 +246,10 @@
 }
 
 // play plays a load, in events of at most 20 ms.
-func play(seed uint64, load float64, by order) *model {
-	const round = 20 * time.Millisecond
+func play(seed uint64, load float64, by order, g *gate) *model {
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 0)),
+		gate:   g,
 		shares: NewShares(),
 		free:   modelCapacity,
 	}
@@ -254,10 +264,17 @@
 			for _, s := range j.steps {
 				offered += float64(int64(s.tasks) * s.millis * s.duration.Milliseconds())
 			}
+			if g != nil && !g.admits(now, j) {
+				continue
+			}
+			j.standing = j.queue.Arrived(now, j.work)
 			m.all = append(m.all, j)
 			m.waiting = append(m.waiting, j)
 		}
 		m.place(now, by)
+		if g != nil {
+			g.observe(now, m)
+		}
 	}
 	return m
 }
@@ -269,8 +286,8 @@
 	waits             []time.Duration
 }
 
-func (m *model) result() result {
-	var r result
+func (m *model) result() *result {
+	r := &result{}
 	last := m.all[len(m.all)-1].at
 	for _, j := range m.all {
 		if last.Sub(j.at) < LateFactor*j.objective {
@@ -338,13 +355,13 @@
 // queue must not lose.
 func TestOverloadServesEachSizeClass(t *testing.T) {
 	for _, load := range []float64{1.2, 2} {
-		former := play(1, load, formerOrder).result()
+		former := play(1, load, formerOrder, nil).result()
 		former.log(t, load, "former")
 		for name, by := range map[string]order{"density": byKey, "least laxity": slackOrder} {
-			r := play(1, load, by).result()
+			r := play(1, load, by, nil).result()
 			r.log(t, load, name)
 		}
-		ranked := play(1, load, rankedOrder).result()
+		ranked := play(1, load, rankedOrder, nil).result()
 		ranked.log(t, load, "ranked")
 		whole := ranked.servedShare(Rest, Large, Largest)
 		for class := range ClassCount {
--- a/pkg/ranker/ranker.go
+++ b/pkg/ranker/ranker.go
@@ -17,8 +17,10 @@
 	// LateFactor is the multiple of its objective up to which a late job has some
 	// worth.
 	LateFactor = 3
-	// lateWorth is the share of its worth that a late job has.
-	lateWorth = 0.15
+	// lateWeight is the weight of a late job in the order. With lateWorth, late jobs
+	// would yield to others until they have no worth at all, also those that were
+	// accepted because they could complete within their bound.
+	lateWeight = 0.6
 	// fixedWorth is the worth of a job of no work, and workWorth what a job of the
 	// mean work of its queue has beyond that.
 	fixedWorth = 0.3
@@ -107,7 +109,7 @@
 	switch k.Rank {
 	case OnTime:
 	case Late:
-		worth *= lateWorth
+		worth *= lateWeight
 		k.Slack += (LateFactor - 1) * j.Objective
 	case VeryLate:
 		// The jobs that can be completed with the least work come first.
--- a/pkg/ranker/shares.go
+++ b/pkg/ranker/shares.go
@@ -12,7 +12,7 @@
 	// classFloor is the rate at which a size class is served, relative to its queue,
 	// below which it is promoted. Half is required; the margin covers jobs that start
 	// in time and end late.
-	classFloor = 0.65
+	classFloor = 0.7
 	// minArrived is how many jobs of a class must have arrived lately for its floor to
 	// hold.
 	minArrived = 0.5
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -76,6 +76,7 @@
 	rejections   *rejections
 	waits        *waitMonitor
 	ordering     *ordering
+	load         *load
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -127,6 +128,7 @@
 		rejections:   newRejections(models),
 		waits:        newWaitMonitor(),
 		ordering:     newOrdering(),
+		load:         newLoad(),
 		placementDue: true,
 	}
 }
@@ -365,6 +367,7 @@
 		c.expireLeases(now)
 		c.watchWaits(now)
 		c.retryRejected(now)
+		c.observeLoad(now)
 	}
 	if mayPlace && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -55,6 +55,7 @@
 		t.notBefore = now.Add(longRunningRestartDelay)
 		return
 	}
+	c.loadCompleted(now, t)
 	c.release(t)
 	c.markDone(t)
 	if t.spec().Gang {
--- a/pkg/scheduler/ordering.go
+++ b/pkg/scheduler/ordering.go
@@ -69,10 +69,12 @@
 	if j.spec.ends() {
 		j.standing = q.Arrived(now, j.work)
 	}
+	c.loadArrived(now, j)
 }
 
-// recordStart records a start for the floors.
+// recordStart records a start for the floors and the estimates.
 func (c *Cell) recordStart(now time.Time, t *task) {
+	t.placedAt = now
 	work := int64(0)
 	if !t.spec().LongRunning {
 		work = t.spec().taskWork()
--- a/pkg/scheduler/ordering_test.go
+++ b/pkg/scheduler/ordering_test.go
@@ -17,7 +17,8 @@
 // runs, for a number of rounds of 100 ms. It returns the tasks that were started.
 func (h *cellHarness) overload(rounds int) []string {
 	var started []string
-	for n := range rounds {
+	first := len(h.cell.jobs)
+	for n := first; n < first+rounds; n++ {
 		for i := range 40 {
 			h.add(fmt.Sprintf("small-%d-%d", n, i), "reviews", newStep(1, 1000+i))
 		}
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -111,6 +111,8 @@
 	progressRun int
 	// stopping is set while a stop is requested for the run.
 	stopping bool
+	// placedAt is when the current run was placed; zero if another owner placed it.
+	placedAt time.Time
 	// notBefore is the earliest time of the next start. It delays long-running
 	// tasks, so that one that exits at once is not restarted too often, and those
 	// that are suspected of crashing runners.
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -226,5 +226,15 @@
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard size-classes-have-floors pkg/ranker/shares.go 's/!q.promoted\[class\] \&\& q.behind\(now, class\)/false/' pkg/ranker TestOverloadServesEachSizeClass
 guard large-jobs-are-promoted pkg/scheduler/ordering.go 's/^\t\tshares.Promote\(now\)/\t\t_ = shares/' pkg/scheduler TestLargeJobsAreServedWhileSmallOnesOverload
+guard overload-is-refused pkg/estimator/estimator.go 's/float64\(q.wait\) > limit\*bound/limit < 0/' pkg/ranker TestAcceptedJobsCompleteAtTwiceTheCapacity
+guard refusals-have-hysteresis pkg/estimator/estimator.go 's/limit = reopenAt/limit = closeAt/' pkg/estimator TestOverloadRefusesBatchJobs
+guard idle-service-refuses-nothing pkg/estimator/estimator.go 's/full \&\& rate > 0/rate > 0/; s/^\tfull := .*//' pkg/estimator TestOverloadRefusesBatchJobs
+guard old-estimate-refuses-nothing pkg/estimator/report.go 's/ \|\| now.Sub\(v.AsOf\) > maxAge//' pkg/controller TestEntryKnowsHowOldAnEstimateIs
+guard first-estimate-may-be-old pkg/controller/admission.go 's/AsOf:   a.seenAt/AsOf:   now/' pkg/controller TestEntryKnowsHowOldAnEstimateIs
+guard committed-job-is-not-refused pkg/controller/admission.go 's/row.Version > 0 \&\& !row.Deleted/false/' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard unsettled-job-is-not-refused pkg/controller/admission.go 's/e.admission.underWay\(now, spec.ID\)/false/' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard unread-row-refuses-nothing pkg/controller/admission.go '/job not refused/,/^\t\}/s/return false, nil//' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard former-owner-estimates-nothing pkg/controller/owner.go 's/ \|\| w.acquire \|\| w.release \{/ {/' pkg/controller TestOwnerPublishesWhatRunnersCanHold
+guard runners-must-be-stable pkg/estimator/runners.go 's/ \|\| now.Sub\(s.changedAt\) < stableFor//' pkg/estimator TestJobThatNoRunnerCanHoldIsRefused
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
