ranker: a step that no runner can hold does not use up a floor

Cause: the capacity that is kept for late jobs went to the oldest one. If no runner could hold it, no other late job got any. A promoted large job that fits nowhere likewise kept others of its class from being promoted until it was very late.

Change: the oldest late step and the best one are promoted in turn; a promoted job holds others back only while it can still be in time.

TestStepThatFitsNowhereDoesNotUseUpTheFloor fails without the change.

--- a/pkg/ranker/shares.go
+++ b/pkg/ranker/shares.go
@@ -62,12 +62,13 @@
 	served  [ClassCount]decayed
 	work    decayed
 	// best holds the waiting step of each class that would be served first of those
-	// that are not promoted, and oldest the one that is the furthest past its
-	// objective. They are scratch space of Promote.
+	// that are not promoted, and late those past their objective. They are scratch
+	// space of Promote.
 	best   [ClassCount]*Entry
-	oldest *Entry
+	late   lateSteps
 	listed bool
-	// promoted is set for the classes of which a promoted job still waits.
+	// promoted is set for the classes of which a promoted job waits that can still be
+	// in time. One that has become late may be one that no runner can hold.
 	promoted [ClassCount]bool
 }
 
@@ -85,9 +86,37 @@
 	queues   map[string]*Queue
 	work     decayed
 	veryLate decayed
-	// listed and oldestVeryLate are scratch space of Promote.
-	listed         []*Queue
-	oldestVeryLate *Entry
+	// turn counts the calls of Promote. listed and veryLateSteps are scratch space of it.
+	turn          uint64
+	listed        []*Queue
+	veryLateSteps lateSteps
+}
+
+// lateSteps are the steps of which one gets capacity that is kept for late ones.
+type lateSteps struct {
+	oldest *Entry
+	best   *Entry
+}
+
+func (l *lateSteps) consider(e *Entry) {
+	if l.oldest == nil || e.later(l.oldest) {
+		l.oldest = e
+	}
+	if l.best == nil || e.Key.Compare(&l.best.Key) < 0 {
+		l.best = e
+	}
+}
+
+// promote promotes the oldest step and the best one in turn. The oldest may be one that
+// no runner can hold.
+func (l *lateSteps) promote(turn uint64) {
+	switch {
+	case l.oldest == nil:
+	case turn%2 == 0:
+		l.oldest.Key.First = true
+	default:
+		l.best.Key.First = true
+	}
 }
 
 // NewShares returns the shares of queues of which nothing is known.
@@ -161,18 +190,18 @@
 		q.listed = true
 		s.listed = append(s.listed, q)
 	}
-	if e.Waited > e.Objective && (q.oldest == nil || e.later(q.oldest)) {
-		q.oldest = e
+	if e.Waited > e.Objective {
+		q.late.consider(e)
 	}
 	if e.Key.Rank == VeryLate {
-		if s.oldestVeryLate == nil || e.later(s.oldestVeryLate) {
-			s.oldestVeryLate = e
-		}
+		s.veryLateSteps.consider(e)
 		return
 	}
 	if e.Standing.promoted {
 		e.Key.Promoted = true
-		q.promoted[e.Standing.Class] = true
+		if e.Key.Rank == OnTime {
+			q.promoted[e.Standing.Class] = true
+		}
 	}
 	if best := q.best[e.Standing.Class]; !e.Key.Promoted && (best == nil || e.Key.Compare(&best.Key) < 0) {
 		q.best[e.Standing.Class] = e
@@ -187,10 +216,11 @@
 // Promote promotes one step for each floor that is not met.
 func (s *Shares) Promote(now time.Time) {
 	floor := workFloor * s.work.value(now)
-	if s.oldestVeryLate != nil && s.veryLate.value(now) < floor {
-		s.oldestVeryLate.Key.First = true
+	s.turn++
+	if s.veryLate.value(now) < floor {
+		s.veryLateSteps.promote(s.turn)
 	}
-	s.oldestVeryLate = nil
+	s.veryLateSteps = lateSteps{}
 	for _, q := range s.listed {
 		for class := Large; class < ClassCount; class++ {
 			if best := q.best[class]; best != nil && !q.promoted[class] && q.behind(now, class) {
@@ -200,12 +230,12 @@
 				q.served[class].add(now, 1)
 			}
 		}
-		if q.oldest != nil && q.work.value(now) < floor {
-			q.oldest.Key.First = true
+		if q.work.value(now) < floor {
+			q.late.promote(s.turn)
 		}
 		q.best = [ClassCount]*Entry{}
 		q.promoted = [ClassCount]bool{}
-		q.oldest = nil
+		q.late = lateSteps{}
 		q.listed = false
 	}
 	clear(s.listed)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -226,6 +226,7 @@
 guard delayed-speed-call-changes-little pkg/supervisor/speed_calls.go 's/ordered := .*/ordered := true/' pkg/supervisor TestSpeedLimitIsSetAgainAfterLostCall
 guard size-classes-have-floors pkg/ranker/shares.go 's/!q.promoted\[class\] \&\& q.behind\(now, class\)/false/' pkg/ranker TestOverloadServesEachSizeClass
 guard large-jobs-are-promoted pkg/scheduler/ordering.go 's/^\t\tshares.Promote\(now\)/\t\t_ = shares/' pkg/scheduler TestLargeJobsAreServedWhileSmallOnesOverload
+guard floor-is-not-used-up pkg/ranker/shares.go 's/turn%2 == 0/true/' pkg/ranker TestStepThatFitsNowhereDoesNotUseUpTheFloor
 guard overload-is-refused pkg/estimator/estimator.go 's/float64\(q.wait\) > limit\*bound/limit < 0/' pkg/ranker TestAcceptedJobsCompleteAtTwiceTheCapacity
 guard refusals-have-hysteresis pkg/estimator/estimator.go 's/limit = reopenAt/limit = closeAt/' pkg/estimator TestOverloadRefusesBatchJobs
 guard idle-service-refuses-nothing pkg/estimator/estimator.go 's/full \&\& rate > 0/rate > 0/; s/^\tfull := .*//' pkg/estimator TestOverloadRefusesBatchJobs
