scripts: the guard lateness-by-own-clock follows its code to ordering.go

Cause: the time from which a job counts as late is now taken in ordering.go, so the guard's expression changed nothing.

scripts/red-first.sh lateness-by-own-clock: red.

--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -150,7 +150,7 @@
 guard rejection-is-passed-on pkg/relayer/wire.go 's/errors.As\(err, \&resp.Rejected\), //' pkg/relayer TestRejectionIsPassedOn
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
-guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
+guard lateness-by-own-clock pkg/scheduler/ordering.go 's/from := maxTime\(j.seenAt,/from := maxTime(time.UnixMilli(j.spec.AcceptedAtMillis),/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
 guard left-runner-gets-no-lease pkg/scheduler/leases.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
