--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -150,7 +150,7 @@
 guard rejection-is-passed-on pkg/relayer/wire.go 's/errors.As\(err, \&resp.Rejected\), //' pkg/relayer TestRejectionIsPassedOn
 guard released-runner-is-tried-again pkg/scheduler/runner_state.go 's/s.index.improved\(s\)/s.index.worsened(s)/' pkg/scheduler TestIndexPlacesLikeScan
 guard blocked-runner-is-tried-again pkg/scheduler/runner_index.go 's/^\t\t\tx.improved\(s\)//' pkg/scheduler TestIndexPlacesLikeScan
-guard lateness-by-own-clock pkg/scheduler/placing.go 's/from := j.seenAt/from := time.UnixMilli(j.spec.AcceptedAtMillis)/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
+guard lateness-by-own-clock pkg/scheduler/ordering.go 's/from := maxTime\(j.seenAt,/from := maxTime(time.UnixMilli(j.spec.AcceptedAtMillis),/' pkg/scheduler TestTimeOfDayOfOtherInstancesDoesNotMakeJobLate
 guard withheld-grant-is-repeated pkg/scheduler/sync.go 's/^\ts.leaseSentAt = time.Time\{\}$//' pkg/scheduler TestReportsWithoutNewsAreNotAnswered
 guard left-runner-gets-no-lease pkg/scheduler/leases.go 's/!s.info.Left/true/' pkg/scheduler TestTasksOfLeftRunnerStartElsewhere
 guard missing-run-is-stopped pkg/scheduler/report.go 's/^\t\tc.stopMissing\(now, s\)//' pkg/scheduler TestRunMissingFromListingsIsStopped
@@ -296,5 +296,18 @@
 guard frames-get-memory-as-they-arrive pkg/connector/frame_conn.go 's/min\(n-have, max\(maxReusedBufferBytes, have\)\)/n - have/' pkg/connector TestUnknownPeersSendSmallFrames
 guard operators-limits-are-in-force platform/caller_bounds.go 's/HeadTimeout: queues.HeadTimeout,//' platform TestCallerBoundsFollowTheConfiguration
 guard held-room-is-for-its-task pkg/scheduler/choosing.go 's/ \&\& t.roomOn == nil//' pkg/scheduler TestIndexPlacesLikeScan
+guard size-classes-have-floors pkg/ranker/shares.go 's/!q.promoted\[class\] \&\& q.behind\(now, class\)/false/' pkg/ranker TestOverloadServesEachSizeClass
+guard large-jobs-are-promoted pkg/scheduler/ordering.go 's/^\t\tshares.Promote\(now\)/\t\t_ = shares/' pkg/scheduler TestLargeJobsAreServedWhileSmallOnesOverload
+guard floor-is-not-used-up pkg/ranker/shares.go 's/turn%2 == 0/true/' pkg/ranker TestStepThatFitsNowhereDoesNotUseUpTheFloor
+guard overload-is-refused pkg/estimator/estimator.go 's/float64\(q.wait\) > limit\*bound/limit < 0/' pkg/ranker TestAcceptedJobsCompleteAtTwiceTheCapacity
+guard refusals-have-hysteresis pkg/estimator/estimator.go 's/limit = reopenAt/limit = closeAt/' pkg/estimator TestOverloadRefusesBatchJobs
+guard idle-service-refuses-nothing pkg/estimator/estimator.go 's/full \&\& rate > 0/rate > 0/; s/^\tfull := .*//' pkg/estimator TestOverloadRefusesBatchJobs
+guard old-estimate-refuses-nothing pkg/estimator/report.go 's/ \|\| now.Sub\(v.AsOf\) > maxAge//' pkg/controller TestEntryKnowsHowOldAnEstimateIs
+guard first-estimate-may-be-old pkg/controller/admission.go 's/AsOf:   a.seenAt/AsOf:   now/' pkg/controller TestEntryKnowsHowOldAnEstimateIs
+guard committed-job-is-not-refused pkg/controller/admission.go 's/row.Version > 0 \&\& !row.Deleted/false/' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard unsettled-job-is-not-refused pkg/controller/admission.go 's/e.admission.underWay\(now, spec.ID\)/false/' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard unread-row-refuses-nothing pkg/controller/admission.go '/job not refused/,/^\t\}/s/return false, nil//' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
+guard former-owner-estimates-nothing pkg/controller/owner.go 's/ \|\| w.acquire \|\| w.release \{/ {/' pkg/controller TestOwnerPublishesWhatRunnersCanHold
+guard runners-must-be-stable pkg/estimator/runners.go 's/ \|\| now.Sub\(s.changedAt\) < stableFor//' pkg/estimator TestJobThatNoRunnerCanHoldIsRefused
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
