--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -101,6 +101,8 @@
 	domainsWatchedAt time.Time
 	nextMove         int
 	holders          []*runnerState
+	ordering         *ordering
+	demand           *demand
 	// placementDue is set if a job or a runner changed since the last placement,
 	// which was at placedAt. expiryCheckedAt is when the leases were last checked.
 	placementDue    bool
@@ -170,6 +172,8 @@
 		}),
 		reservations: newReservations(cfg.MaxReservations),
 		copies:       newCopies(),
+		ordering:     newOrdering(),
+		demand:       newDemand(),
 		placementDue: true,
 	}
 }
@@ -214,6 +218,7 @@
 	}
 	j := newJob(seenAt, spec)
 	c.jobs[spec.ID] = j
+	c.arrived(seenAt, j)
 	c.addUnplaced(j)
 }
 
@@ -239,6 +244,7 @@
 		j.endedAt = time.UnixMilli(p.EndedAtMillis)
 	}
 	c.jobs[spec.ID] = j
+	c.arrived(seenAt, j)
 	c.addUnplaced(j)
 	tasks := j.tasks()
 	if !c.cfg.Assert.Holds(len(tasks) == len(p.Tasks), "progress-fits-job", "job", spec.ID) {
@@ -336,6 +342,9 @@
 func (c *Cell) endJob(now time.Time, j *job, state State) {
 	j.state = state
 	j.endedAt = now
+	if state == StateCompleted {
+		c.recordCompletion(now, j)
+	}
 	c.Counts.JobsEnded++
 	c.cfg.LogEvent("job ended", "job", j.spec.ID, "state", state)
 	c.markChanged(j)
@@ -424,6 +433,7 @@
 		c.watchWaits(now)
 		c.watchDomains(now)
 		c.retryRejected(now)
+		c.observeLoad(now)
 	}
 	if mayPlace && c.ordersKnown(now) && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
 		c.placementDue = false
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -64,6 +64,7 @@
 	}
 	c.recordDuration(now, t)
 	c.recordWin(t)
+	c.loadCompleted(now, t)
 	c.markDone(t)
 	c.release(t)
 	c.stop(t.current)
