scheduler: the loss of a runner may end a job with other starts there

what callers saw: nothing yet; the owner would have ended with a nil dereference cause: loseRuns walks the runs that were placed at first; since copies, a lost run can end its job (failures above what the queue permits by now), which releases unsent starts on the same runner ruled out: the expiry of leases, which checks the runner of each run already change: a run that is no longer placed there is passed over before / after: TestLostRunEndsJobWithUnsentStartOnTheSameRunner panics / passes; found by a review

--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -51,7 +51,10 @@
 // loseRuns releases all tasks of a runner that provably runs none of them.
 func (c *Cell) loseRuns(now time.Time, s *runnerState, why string) {
 	for _, t := range s.placed() {
-		c.loseRun(now, t, why)
+		// The end of a job with the run of another task releases what was not sent.
+		if t.runner == s {
+			c.loseRun(now, t, why)
+		}
 	}
 }
 
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -309,5 +309,6 @@
 guard unread-row-refuses-nothing pkg/controller/admission.go '/job not refused/,/^\t\}/s/return false, nil//' pkg/controller TestOverloadedEntryRefusesOnlyUnknownJobs
 guard former-owner-estimates-nothing pkg/controller/owner.go 's/ \|\| w.acquire \|\| w.release \{/ {/' pkg/controller TestOwnerPublishesWhatRunnersCanHold
 guard runners-must-be-stable pkg/estimator/runners.go 's/ \|\| now.Sub\(s.changedAt\) < stableFor//' pkg/estimator TestJobThatNoRunnerCanHoldIsRefused
+guard lost-run-may-end-its-job pkg/scheduler/lost_runner.go 's/if t.runner == s \{/if true {/' pkg/scheduler TestLostRunEndsJobWithUnsentStartOnTheSameRunner
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
