--- a/pkg/scheduler/lost_job_test.go
+++ b/pkg/scheduler/lost_job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -15,6 +16,8 @@
 	h.add("j", "checks", step)
 	h.tickUntilIdle()
 	h.acceptStarts("a")
+	// No start can reach a later incarnation any more.
+	h.advance(maxCallDelay + time.Second)
 	tasks := h.cell.jobs["j"].tasks()
 	tasks[0].failures = testQueues().List[0].Terms.MaxFailures
 	tasks[1].startSent = false
