scheduler, platform: requests out of range are rejected with 400

what callers saw: nothing yet; a job with a negative request would have let later starts exceed its runner, and a large one could wrap cause: only counts and dependencies of a job were checked change: processors, memory, accelerators and estimates have ranges that keep the work of a job within 63 bits; of a longer estimate only a part counts before / after: TestJobsWithRequestsOutOfRangeAreRejected fails / passes; found by a review

--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -282,8 +282,17 @@
 	return name, numbers[0], numbers[1], numbers[2], true
 }
 
-// maxTasks is the maximum number of tasks of one job.
-const maxTasks = 10_000
+const (
+	// maxTasks is the maximum number of tasks of one job.
+	maxTasks = 10_000
+	// maxProcessorMillis and MaxEstimateMillis bound what a task may request and what of
+	// its estimated time counts, so that the work of a whole job fits into 63 bits.
+	maxProcessorMillis = 1 << 24
+	MaxEstimateMillis  = 1 << 24
+	// maxMemoryBytes and maxAccelerators bound what a task may request.
+	maxMemoryBytes  = 1 << 50
+	maxAccelerators = 1 << 20
+)
 
 // Check returns a *publisher.FieldError for the first field with an invalid
 // value.
@@ -295,6 +304,9 @@
 			return err
 		}
 		tasks += step.Count
+		if err := step.checkNeeds(field); err != nil {
+			return err
+		}
 		for _, dependency := range step.After {
 			if err := publisher.CheckRange(field+".after", int64(dependency), 0, int64(i-1)); err != nil {
 				return err
@@ -306,3 +318,18 @@
 	}
 	return publisher.CheckRange("tasks", int64(tasks)*int64(s.occurrences()), 1, maxTasks)
 }
+
+// checkNeeds returns a *publisher.FieldError for the first request that is out of range. A
+// negative one would count as free capacity.
+func (s *Step) checkNeeds(field string) error {
+	if err := publisher.CheckRange(field+".processor-millis", s.Needs.ProcessorMillis, 0, maxProcessorMillis); err != nil {
+		return err
+	}
+	if err := publisher.CheckRange(field+".memory-bytes", s.Needs.MemoryBytes, 0, maxMemoryBytes); err != nil {
+		return err
+	}
+	if err := publisher.CheckRange(field+".accelerators", s.Needs.Accelerators, 0, maxAccelerators); err != nil {
+		return err
+	}
+	return publisher.CheckRange(field+".estimate-millis", s.EstimateMillis, 0, MaxEstimateMillis)
+}
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -113,7 +113,9 @@
 	if step.Gang {
 		tasks = int64(step.Count)
 	}
-	exceeds := func(need, sum, runs int64) bool { return sum > 0 && need*tasks*runs >= largeFactor*sum }
+	exceeds := func(need, sum, runs int64) bool {
+		return sum > 0 && float64(need)*float64(tasks)*float64(runs) >= largeFactor*float64(sum)
+	}
 	return exceeds(needs.ProcessorMillis, z.allocated.ProcessorMillis, z.withProcessors) ||
 		exceeds(needs.MemoryBytes, z.allocated.MemoryBytes, z.runs) ||
 		exceeds(needs.Accelerators, z.allocated.Accelerators, z.runs)
