--- a/pkg/controller/table_watcher.go
+++ b/pkg/controller/table_watcher.go
@@ -16,7 +16,7 @@
 	// orderWatchTimeout is the same for the operator table where orders to drain
 	// have a bound: each reply shows that there is no newer order.
 	watchTimeout      = time.Second
-	orderWatchTimeout = 600 * time.Millisecond
+	orderWatchTimeout = 400 * time.Millisecond
 	// watchRetryDelay is the delay after a request that failed.
 	watchRetryDelay = 200 * time.Millisecond
 )
