--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -145,7 +145,8 @@
 		s.busy.add(now, rateHalfLife, elapsed*float64(ending))
 	}
 	s.observedAt = now
-	s.busyMillis = ending
+	// What is free can be used by what waits.
+	s.busyMillis = ending + max(0, capacity-allocated)
 	for _, b := range backlogs {
 		s.queue(b.Queue).urgency = b.Urgency
 	}
--- a/pkg/ranker/ranker.go
+++ b/pkg/ranker/ranker.go
@@ -62,10 +62,11 @@
 	Begun bool
 }
 
-// Rank returns the worth that the job's completion has if nothing delays it further.
+// Rank returns the worth that the job's completion has if nothing delays it further. A job
+// without an objective is never late.
 func (j *Job) Rank() Rank {
 	switch done := j.Waited + j.Chain; {
-	case done <= j.Objective:
+	case j.Objective <= 0, done <= j.Objective:
 		return OnTime
 	case done <= LateFactor*j.Objective:
 		return Late
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -132,7 +132,7 @@
 	}
 	l.runners.Add(s.info.ProcessorMillis, s.info.MemoryBytes, s.info.Accelerators, s.info.Labels)
 	for t := range s.tasks {
-		if step := t.spec(); !step.LongRunning {
+		if step := t.spec(); !step.LongRunning && !s.domainClosed {
 			l.ending += step.allocation().ProcessorMillis
 		}
 	}
@@ -158,7 +158,7 @@
 			Urgency: c.terms(j).Urgency,
 		})
 	}
-	l.backlogs[i].Work += work * int64(j.unfinished-j.placed) / int64(j.unfinished)
+	l.backlogs[i].Work += int64(float64(work) * float64(j.unfinished-j.placed) / float64(j.unfinished))
 }
 
 // logRefusals logs the queues whose jobs are refused from now on, or no longer.
--- a/pkg/scheduler/ordering.go
+++ b/pkg/scheduler/ordering.go
@@ -69,7 +69,6 @@
 	if j.spec.ends() {
 		j.standing = q.Arrived(now, j.work)
 	}
-	c.loadArrived(now, j)
 }
 
 // recordStart records a start for the floors and the estimates.
