scheduler: what the reviews found where the parts meet

what callers saw: nothing yet cause: a move stopped tasks while nothing could be placed, or for room that a reservation denies; the moved task of a step came after others that cannot use its room; a new owner called a domain drained before its runners were reported; a reservation moved to and fro between a warm and a cold runner; a copy was backfilled by the end of its original; several copies of one decision exceeded the row's room change: moves only while tasks may be placed and by the same check as placement; held room goes first; cold runners hold no reservation; a copy is checked as a run of its own after: TestNothingIsMovedWhileNothingCanBePlaced, TestDomainIsNotDrainedWhileRunnersWithRunsAreUnreported, TestMovedTaskIsPlacedBeforeOthersOfItsStep; go test ./pkg/scheduler passes

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -99,6 +99,7 @@
 	// counts the steps that it considered for a move, and holders lists the runners that
 	// hold room for a task on its way.
 	domainsWatchedAt time.Time
+	movedAt          time.Time
 	nextMove         int
 	holders          []*runnerState
 	ordering         *ordering
@@ -219,6 +220,7 @@
 	j := newJob(seenAt, spec)
 	c.jobs[spec.ID] = j
 	c.arrived(seenAt, j)
+	c.loadArrived(seenAt, j)
 	c.addUnplaced(j)
 }
 
@@ -435,7 +437,11 @@
 		c.retryRejected(now)
 		c.observeLoad(now)
 	}
-	if mayPlace && c.ordersKnown(now) && (c.placementDue || now.Sub(c.placedAt) >= placementInterval) {
+	if !mayPlace || !c.ordersKnown(now) {
+		return
+	}
+	c.moveIfDue(now)
+	if c.placementDue || now.Sub(c.placedAt) >= placementInterval {
 		c.placementDue = false
 		c.placedAt = now
 		c.place(now)
--- a/pkg/scheduler/copies.go
+++ b/pkg/scheduler/copies.go
@@ -141,15 +141,20 @@
 
 // startCopy starts a copy of a task's run, and reports whether a runner can hold it.
 func (c *Cell) startCopy(now time.Time, t *task) bool {
-	s := c.chooseForCopy(now, t)
-	if s == nil {
+	// Other copies of the same decision take room in the row as well.
+	if t.job.rowRoom() < copyRowRoom {
 		return false
 	}
-	t.copy = &task{
+	second := &task{
 		taskState:   t.taskState,
 		copyOf:      t.run,
 		copyService: c.service(t.job),
 	}
+	s := c.chooseForCopy(now, t, second)
+	if s == nil {
+		return false
+	}
+	t.copy = second
 	c.start(now, s, t.copy)
 	s.recordPlacement(now)
 	c.copies.millis[t.copy.copyService] += t.spec().Needs.ProcessorMillis
@@ -162,7 +167,7 @@
 
 // chooseForCopy returns the runner for a copy of a task's run, or nil: one on another
 // instance, if possible in another failure domain, with nothing that speaks against it.
-func (c *Cell) chooseForCopy(now time.Time, t *task) *runnerState {
+func (c *Cell) chooseForCopy(now time.Time, t, second *task) *runnerState {
 	c.index.refresh()
 	w := candidate{
 		job:        t.job,
@@ -177,10 +182,10 @@
 		if order.value(&s.position) < t.spec().Needs.ProcessorMillis {
 			break
 		}
-		if s.stalled || sameInstance(s, t.runner) || !c.mayPlace(now, s, &w, t) {
+		if s.stalled || sameInstance(s, t.runner) || !c.mayPlace(now, s, &w, second) {
 			continue
 		}
-		penalty := penaltyOf(now, s, t, nil)
+		penalty := penaltyOf(now, s, second, nil)
 		if penalty > penaltyOtherRack {
 			continue
 		}
--- a/pkg/scheduler/draining.go
+++ b/pkg/scheduler/draining.go
@@ -24,7 +24,7 @@
 	c.domains.SetOrders(now, orders)
 	c.placementDue = true
 	for _, s := range c.runners {
-		c.updateDomain(s)
+		c.updateDomain(now, s)
 	}
 }
 
@@ -48,7 +48,7 @@
 }
 
 // updateDomain records whether the failure domain of a runner takes tasks.
-func (c *Cell) updateDomain(s *runnerState) {
+func (c *Cell) updateDomain(now time.Time, s *runnerState) {
 	closed := s.reported && !c.domains.Accepts(s.info.FailureDomain)
 	switch {
 	case closed == s.domainClosed:
@@ -56,7 +56,7 @@
 		s.domainClosed = true
 		s.index.worsened(s)
 		s.needsSync()
-		c.withdrawStarts(s)
+		c.withdrawStarts(now, s)
 	default:
 		s.domainClosed = false
 		s.index.improved(s)
@@ -72,8 +72,7 @@
 	return requestedHere || s.listedSinceLink
 }
 
-// watchDomains moves the domains to the states that follow from what runs there, and
-// long-running tasks out of those that are drained.
+// watchDomains moves the domains to the states that follow from what runs there.
 func (c *Cell) watchDomains(now time.Time) {
 	if now.Sub(c.domainsWatchedAt) < domainInterval {
 		return
@@ -81,7 +80,12 @@
 	c.domainsWatchedAt = now
 	loads := map[string]drainer.Load{}
 	for _, s := range c.runners {
-		if !s.reported {
+		switch {
+		case s.reported:
+		case len(s.tasks) > 0:
+			// Its domain is not known yet, so none is known to be drained.
+			return
+		default:
 			continue
 		}
 		load := loads[s.info.FailureDomain]
@@ -96,6 +100,15 @@
 	}
 	c.domains.Observe(now, loads)
 	c.dropHolds(now)
+}
+
+// moveIfDue moves tasks out of drained domains. It must be called only if tasks may be
+// placed: what is stopped could not start elsewhere otherwise.
+func (c *Cell) moveIfDue(now time.Time) {
+	if now.Sub(c.movedAt) < domainInterval {
+		return
+	}
+	c.movedAt = now
 	c.moveTasks(now)
 }
 
--- a/pkg/scheduler/explanation.go
+++ b/pkg/scheduler/explanation.go
@@ -145,10 +145,16 @@
 	if reason == accepted {
 		reason = c.misfit(s, w, t)
 	}
-	if reason == accepted && c.reservedFromTask(now, s, w, t) {
+	switch {
+	case reason != accepted:
+		return reason
+	case c.reservedFromTask(now, s, w, t):
 		return refusedForWaiting
+	case c.tooCold(now, s, t.spec()):
+		return refusedCold
+	default:
+		return accepted
 	}
-	return reason
 }
 
 func (c *Cell) explainRunner(now time.Time, s *runnerState, reason refusal, r rating) RunnerExplanation {
@@ -195,7 +201,7 @@
 			c.reservations.runners = append(c.reservations.runners, c.reservable(now, s))
 		}
 	}
-	c.barFor(&n, t)
+	c.barFor(now, &n, t)
 	at, parts := reserver.Earliest(now, n, c.reservations.runners)
 	if len(parts) == 0 {
 		return nil, nil
--- a/pkg/scheduler/moving.go
+++ b/pkg/scheduler/moving.go
@@ -150,7 +150,7 @@
 	c.index.refresh()
 	service := c.index.service(c.service(t.job))
 	for _, s := range service.byIdle.runners {
-		if s.hold.task == nil && s.takes(now, t) && !c.tooCold(now, s, t.spec()) && c.fits(s, &w, t) {
+		if s.hold.task == nil && c.mayPlace(now, s, &w, t) {
 			return s
 		}
 	}
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -53,7 +53,7 @@
 // placeStep places as many waiting tasks of a step as possible.
 func (c *Cell) placeStep(now time.Time, w *candidate) {
 	mayBeRefused := false
-	for _, t := range w.occurrence.steps[w.step] {
+	for _, t := range heldRoomFirst(w.occurrence.steps[w.step]) {
 		if !t.pending(now) {
 			continue
 		}
@@ -74,6 +74,17 @@
 	w.recordWaiting(now, mayBeRefused)
 }
 
+// heldRoomFirst returns the tasks of a step with those first for which room is held: the
+// others of the step cannot use it, and the first one without a runner ends the placement.
+func heldRoomFirst(tasks []*task) []*task {
+	if !slices.ContainsFunc(tasks, func(t *task) bool { return t.roomOn != nil }) {
+		return tasks
+	}
+	tasks = slices.Clone(tasks)
+	slices.SortStableFunc(tasks, func(a, b *task) int { return compareBools(a.roomOn == nil, b.roomOn == nil) })
+	return tasks
+}
+
 // fullRunners records that no runner could hold a step's tasks. Only those that
 // improved after change may hold them now, as long as queues is in force, and unless
 // the job has become starved since. The zero value records nothing.
@@ -192,7 +203,9 @@
 	c.Counts.Starts++
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
 		"free-millis", s.free().ProcessorMillis, "report-age-millis", now.Sub(s.listedAt).Milliseconds(), "queues-version", c.queues.Version)
-	c.recordStart(now, t)
+	if t.copyOf == 0 {
+		c.recordStart(now, t)
+	}
 	c.bind(s, t)
 	c.startReserved(now, s, t)
 	c.watchForCopies(t)
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		waits := false
-		for _, t := range tasks {
+		for _, t := range heldRoomFirst(tasks) {
 			if !t.pending(now) {
 				continue
 			}
@@ -396,6 +396,7 @@
 func (p *cellPair) tick() {
 	p.indexed.Tick(p.now, true)
 	p.scanned.Tick(p.now, false)
+	p.scanned.moveIfDue(p.now)
 	placeByScan(p.scanned, p.now)
 	p.both(func(c *Cell) {
 		for {
--- a/pkg/scheduler/released_runs.go
+++ b/pkg/scheduler/released_runs.go
@@ -26,9 +26,11 @@
 }
 
 func (r *releasedRuns) add(run int) {
+	// The copy of a run may be released before that run.
 	r.runs = append(r.runs, run)
+	slices.Sort(r.runs)
 	if len(r.runs) > maxReleasedRuns {
-		r.upTo = r.runs[0]
+		r.upTo = max(r.upTo, r.runs[0])
 		r.runs = r.runs[1:]
 	}
 }
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -88,7 +88,7 @@
 	s.reported = true
 	s.reportedBy(now, agent)
 	s.setCold(now, time.Duration(info.ColdMillis)*time.Millisecond)
-	c.updateDomain(s)
+	c.updateDomain(now, s)
 	c.agents[agent] = s
 	if info.Left {
 		s.limitLeases(now.Add(leaveMargin))
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -149,7 +149,7 @@
 	}
 	c.collectRunners(now, reserved)
 	for i := range p.needs {
-		c.bar(&p.needs[i])
+		c.bar(now, &p.needs[i])
 	}
 	p.reserver.Plan(now, p.needs, p.runners)
 	for i := range p.needs {
@@ -212,9 +212,9 @@
 	tasks := w.occurrence.steps[w.step]
 	i := slices.IndexFunc(tasks, func(t *task) bool { return t.pending(now) })
 	t := tasks[i]
-	placeable := w.job.placed < w.job.maxPlaced
+	placeable := w.job.rowRoom() >= 1
 	if step.Gang {
-		placeable = w.job.placed+len(tasks) <= w.job.maxPlaced && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
+		placeable = w.job.rowRoom() >= len(tasks) && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
 	}
 	// A suspect waits for a runner of its own.
 	if !placeable || t.record.suspect() {
@@ -261,22 +261,22 @@
 }
 
 // bar sets which of the runners in the plan a need cannot use, whatever is free there.
-func (c *Cell) bar(n *reserver.Need) {
+func (c *Cell) bar(now time.Time, n *reserver.Need) {
 	r := c.jobs[n.Key.Job].occurrences[n.Key.Occurrence]
-	c.barFor(n, r.steps[n.Key.Step][0])
+	c.barFor(now, n, r.steps[n.Key.Step][0])
 }
 
 // barFor is like bar, for the need of a task.
-func (c *Cell) barFor(n *reserver.Need, t *task) {
+func (c *Cell) barFor(now time.Time, n *reserver.Need, t *task) {
 	step := t.spec()
-	if step.Requires == "" && step.AntiAffinity == 0 {
+	if step.Requires == "" && step.AntiAffinity == 0 && c.cfg.ColdRuns == 0 {
 		return
 	}
 	n.Barred = map[framer.RunnerKey]struct{}{}
 	for i := range c.reservations.runners {
 		s := c.runners[c.reservations.runners[i].Key]
 		if step.Requires != "" && !slices.Contains(s.info.Labels, step.Requires) ||
-			step.AntiAffinity > 0 && siblings(s, t) >= step.AntiAffinity {
+			step.AntiAffinity > 0 && siblings(s, t) >= step.AntiAffinity || c.tooCold(now, s, step) {
 			n.Barred[s.key] = struct{}{}
 		}
 	}
@@ -375,7 +375,7 @@
 		Service:         s.info.Service,
 		Rack:            strings.Join(s.info.Labels, "\n"),
 		ProcessorMillis: s.info.ProcessorMillis,
-		Free:            s.free(),
+		Free:            publisher.Subtract(s.free(), s.held(nil)),
 		Runs:            p.runs[from:len(p.runs):len(p.runs)],
 	}
 }
@@ -424,7 +424,7 @@
 // runner.
 func (c *Cell) reservedFromTask(now time.Time, s *runnerState, w *candidate, t *task) bool {
 	p := c.reservations
-	if p == nil || p.reserver.On(s.key) == nil {
+	if p == nil || p.reserver.On(s.key) == nil || s.hold.task == t {
 		return false
 	}
 	return !p.reserver.Allows(now, s.key, c.need(now, w, t), c.endsBy(now, t))
--- a/pkg/scheduler/sync.go
+++ b/pkg/scheduler/sync.go
@@ -28,7 +28,7 @@
 	if granting && s.mayBeGranted() {
 		sync.LeaseUntilMillis = c.grantLease(now, s)
 	}
-	c.withdrawStarts(s)
+	c.withdrawStarts(now, s)
 	if granting && !s.expiry.due && !s.domainClosed && c.ordersKnown(now) {
 		sync.Starts = c.starts(now, s)
 		sync.StartsUntilMillis = c.startsUntilMillis(now, s)
@@ -112,7 +112,7 @@
 
 // withdrawStarts withdraws the starts that a runner has not accepted yet if it has become
 // too small for what is placed on it, or its failure domain takes no tasks.
-func (c *Cell) withdrawStarts(s *runnerState) {
+func (c *Cell) withdrawStarts(now time.Time, s *runnerState) {
 	if !s.domainClosed && publisher.Within(s.allocated, s.capacity()) {
 		return
 	}
@@ -121,6 +121,7 @@
 			c.Counts.Withdrawn++
 			c.cfg.LogEvent("start withdrawn", "task", t.name(), "run", t.run, "runner", s.key.ID, "free-millis", s.free().ProcessorMillis, "domain-draining", s.domainClosed)
 			c.stop(t)
+			c.failExhausted(now, t)
 		}
 	}
 }
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -326,16 +326,7 @@
 		if s.info.Service != service {
 			continue
 		}
-		reason := s.refusal(now)
-		if reason == accepted {
-			reason = c.misfit(s, &w, t)
-		}
-		if reason == accepted && c.reservedFromTask(now, s, &w, t) {
-			reason = refusedForWaiting
-		}
-		if reason == accepted && c.tooCold(now, s, t.spec()) {
-			reason = refusedCold
-		}
+		reason := c.answer(now, s, &w, t)
 		if reason == accepted && s.position.mayHoldMore {
 			reason = acceptedLately
 		}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -310,5 +310,9 @@
 guard former-owner-estimates-nothing pkg/controller/owner.go 's/ \|\| w.acquire \|\| w.release \{/ {/' pkg/controller TestOwnerPublishesWhatRunnersCanHold
 guard runners-must-be-stable pkg/estimator/runners.go 's/ \|\| now.Sub\(s.changedAt\) < stableFor//' pkg/estimator TestJobThatNoRunnerCanHoldIsRefused
 guard lost-run-may-end-its-job pkg/scheduler/lost_runner.go 's/if t.runner == s \{/if true {/' pkg/scheduler TestLostRunEndsJobWithUnsentStartOnTheSameRunner
+guard moves-need-placement pkg/scheduler/cell.go 's/if !mayPlace \|\| !c.ordersKnown\(now\) \{/c.moveIfDue(now)\n\tif !mayPlace {/' pkg/scheduler TestNothingIsMovedWhileNothingCanBePlaced
+guard unreported-runs-are-left pkg/scheduler/draining.go 's/case len\(s.tasks\) > 0:/case false:/' pkg/scheduler TestDomainIsNotDrainedWhileRunnersWithRunsAreUnreported
+guard moved-task-goes-first pkg/scheduler/placing.go 's/slices.SortStableFunc\(tasks, func\(a, b \*task\) int \{ return compareBools\(a.roomOn == nil, b.roomOn == nil\) \}\)/_ = compareBools/' pkg/scheduler TestMovedTaskIsPlacedBeforeOthersOfItsStep
+guard requests-have-ranges pkg/scheduler/job.go 's/if err := step.checkNeeds\(field\); err != nil \{/if err := step.checkNeeds(field); err != nil \&\& false {/' platform TestJobsWithRequestsOutOfRangeAreRejected
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
