--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -307,7 +307,6 @@
 			s.delayedUntilMillis = unknownLease
 			s.delayedCallsEnd = end
 			s.fenceEpoch = c.cfg.Epoch
-			delete(c.cfg.DelayedLeases, key.ID)
 		}
 		c.runners[key] = s
 		c.incarnations.add(s)
--- a/pkg/scheduler/lease_test.go
+++ b/pkg/scheduler/lease_test.go
@@ -270,6 +270,24 @@
 		cell.Tick(end.Add(expiryInterval), false)
 		assert.Equal(t, cell.Counts.Lost, int64(1))
 	})
+	t.Run("each incarnation that a row names", func(t *testing.T) {
+		cell := load("i-restarted")
+		cell.Load(now, Spec{
+			ID:      "k",
+			Queue:   "checks",
+			Service: "polls",
+			Steps:   []Step{newStep(1, 500)},
+		}, Progress{
+			State: StateRunning,
+			Tasks: []TaskProgress{{
+				Run:                   1,
+				RunnerID:              "i-restarted",
+				RunnerStartedAtMillis: 2000,
+			}},
+		})
+		cell.Tick(end, false)
+		assert.Equal(t, cell.Counts.Lost, int64(0))
+	})
 	t.Run("any other runner", func(t *testing.T) {
 		cell := load("i-other")
 		cell.Tick(now.Add(testLease+expiryInterval), false)
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -25,7 +25,9 @@
 func (c *Cell) supersede(now time.Time, old, s *runnerState) {
 	c.recordCrash(now, old)
 	for _, t := range old.placed() {
-		if t.startSent && (!t.listed || old.startMayArrive(now, t.ref())) {
+		// A start is requested again until it is confirmed, so the last request counts.
+		mayArrive := old.startMayArrive(now, t.ref()) || now.Sub(t.startSentAt) <= maxCallDelay
+		if t.startSent && (!t.listed || mayArrive) {
 			old.release(t)
 			s.bind(t)
 			t.stopping = true
