--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -285,10 +285,10 @@
 const (
 	// maxTasks is the maximum number of tasks of one job.
 	maxTasks = 10_000
-	// maxProcessorMillis and MaxEstimateMillis bound what a task may request and what of
-	// its estimated time counts, so that the work of a whole job fits into 63 bits.
-	maxProcessorMillis = 1 << 24
+	// MaxEstimateMillis is the largest estimate of a task's run time, in milliseconds.
+	// The work of a whole job fits into 63 bits with that and maxProcessorMillis.
 	MaxEstimateMillis  = 1 << 24
+	maxProcessorMillis = 1 << 24
 	// maxMemoryBytes and maxAccelerators bound what a task may request.
 	maxMemoryBytes  = 1 << 50
 	maxAccelerators = 1 << 20
