drainer, reserver, ranker, estimator: comments state what the code does

A reader of the new packages stumbled on lateWorth, a constant that only a test has, on moveShare and overdueShare, which are divisors and not shares, on the comment of the drainer's states, which described one of them in a line about all, and on a derivation of closeAt in one long sentence, which the design document repeats. The names and comments are changed; the behaviour is not.

--- a/pkg/drainer/drainer.go
+++ b/pkg/drainer/drainer.go
@@ -10,8 +10,9 @@
 // State is the state of a failure domain.
 type State string
 
-// The states. A domain without an order and without load that returns is active.
+// The states.
 const (
+	// StateActive: no order is in force, and no runner is cold because of a former one.
 	StateActive State = "active"
 	// StateDraining: ordered drained, and runs are left.
 	StateDraining State = "draining"
--- a/pkg/drainer/orders.go
+++ b/pkg/drainer/orders.go
@@ -1,6 +1,6 @@
 // Package drainer decides which failure domains take new runs. Operators order a
-// domain drained and withdraw the order again; orders holds what is in force, and
-// Drainer the state that each domain is in because of it. There is no I/O here.
+// domain drained and withdraw the order again. Orders holds the orders in force, and
+// Drainer the state of each domain that follows from them. It does no I/O.
 package drainer
 
 import (
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -21,10 +21,8 @@
 	warmUp = 3 * time.Second
 	// closeAt is the wait, relative to the bound, from which jobs are refused. Large
 	// jobs wait up to twice as long as in proportion to their bounds, since smaller ones
-	// go first, so they can complete in time up to about half. If the estimate is twice
-	// too high, the true wait is from a quarter of the bound, three quarters of the
-	// objective; with its own chain, half of the objective at a stretch of 2, a refused
-	// job would have been late, and has lost at most the worth of a late one.
+	// go first, so they complete in time only below about half.
+	// docs/design/ordering-and-refusal.md states the cost of estimates that are too high.
 	closeAt = 0.5
 	// reopenAt is the relative wait below which jobs are accepted again.
 	reopenAt = 0.45
@@ -61,10 +59,10 @@
 	}
 }
 
-// Backlog is the work that waits in a queue now, also that of jobs that are too late to
-// have any worth: it must still be completed, and without it, more would be accepted
-// than is completed. Work is in thousandths of a processor
-// times milliseconds, by the callers' estimates.
+// Backlog is the work that waits in a queue now. It includes jobs that are too late to
+// have any worth: they must still be completed, and without them, more would be accepted
+// than is completed. Work is in thousandths of a processor times milliseconds, by the
+// callers' estimates.
 type Backlog struct {
 	Queue   string
 	Urgency int
--- a/pkg/ranker/ranker.go
+++ b/pkg/ranker/ranker.go
@@ -1,7 +1,7 @@
 // Package ranker decides in which order waiting steps of jobs get capacity. Its
 // functions do no I/O and keep no clock.
 //
-// A job has its full worth until its objective, lateWorth of it until its bound, and
+// A job has its full worth until its objective, a part of it until its bound, and
 // none afterwards, though it must still complete. Of the jobs of one urgency, those
 // come first whose worth is the highest for the work that is left. Floors keep the
 // large jobs of a queue and the least urgent queues from being passed over.
@@ -17,9 +17,10 @@
 	// LateFactor is the multiple of its objective up to which a late job has some
 	// worth.
 	LateFactor = 3
-	// lateWeight is the weight of a late job in the order. With lateWorth, late jobs
-	// would yield to others until they have no worth at all, also those that were
-	// accepted because they could complete within their bound.
+	// lateWeight is the weight of a late job in the order. It is higher than the share
+	// of 0.15 of its worth that a late job has for callers: with that, late jobs would
+	// yield to others until they have no worth at all, also those that were accepted
+	// because they could complete within their bound.
 	lateWeight = 0.6
 	// fixedWorth is the worth of a job of no work, and workWorth what a job of the
 	// mean work of its queue has beyond that.
--- a/pkg/reserver/estimates.go
+++ b/pkg/reserver/estimates.go
@@ -15,10 +15,10 @@
 	// ratioPercentile is the share of runs, in percent, that end by the corrected
 	// estimate.
 	ratioPercentile = 90
-	// overdueShare is the part of its elapsed time that a run which exceeded the
-	// corrected estimate is expected to last from now, minOverdue the least such time.
-	overdueShare = 4
-	minOverdue   = 100 * time.Millisecond
+	// A run that exceeded the corrected estimate is expected to last for its elapsed
+	// time divided by overdueDivisor from now on, but at least for minOverdue.
+	overdueDivisor = 4
+	minOverdue     = 100 * time.Millisecond
 )
 
 // Class is a set of runs whose estimates have the same error. Best-effort runs get only
@@ -85,7 +85,7 @@
 	if end.After(now) {
 		return end
 	}
-	return now.Add(max(minOverdue, now.Sub(startedAt)/overdueShare))
+	return now.Add(max(minOverdue, now.Sub(startedAt)/overdueDivisor))
 }
 
 func (c *ratios) add(ratio float64) {
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -21,10 +21,10 @@
 	// is backfilled after the promised time.
 	maxGrace = 30 * time.Second
 	// minMoveGain is the least time by which another room must be earlier for a
-	// reservation to move there, and moveShare the part of the remaining wait by which
-	// it must. Estimates vary by more than that between two finished runs.
+	// reservation to move there. It must also be earlier by the remaining wait divided
+	// by moveDivisor. Smaller differences are within the error of the estimates.
 	minMoveGain = 250 * time.Millisecond
-	moveShare   = 4
+	moveDivisor = 4
 )
 
 // Key identifies a need: a step of an occurrence of a job.
@@ -302,7 +302,7 @@
 
 // gains reports whether a room is so much earlier that a reservation moves there.
 func gains(now, at, startsAt time.Time) bool {
-	return startsAt.Sub(at) >= max(minMoveGain, startsAt.Sub(now)/moveShare)
+	return startsAt.Sub(at) >= max(minMoveGain, startsAt.Sub(now)/moveDivisor)
 }
 
 func newReservation(now time.Time, n *Need, at room) *Reservation {
