scheduler, supervisor: names and comments that misled a reader

What a reader stumbled on: the receiver l of a type demand; bar, deserves and packs, which do not say what they decide; extra, known and moved, where the last one has nothing to do with moving, the step above it; copyable, whose comment named a list that is called otherwise; movedAt without a comment; recordStart, which no longer records anything for the estimates; and three comments that were broken mid-sentence. Only unexported names change; no behaviour does.

--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -95,9 +95,10 @@
 	// reservations is nil if there are none.
 	reservations *reservations
 	copies       *copies
-	// domainsWatchedAt is when watchDomains last looked at the failure domains, nextMove
-	// counts the steps that it considered for a move, and holders lists the runners that
-	// hold room for a task on its way.
+	// domainsWatchedAt is when watchDomains last looked at the failure domains, and
+	// movedAt when moveIfDue last moved tasks out of them. nextMove counts the steps that
+	// were considered for a move. holders lists the runners that hold room for a task on
+	// its way.
 	domainsWatchedAt time.Time
 	movedAt          time.Time
 	nextMove         int
@@ -141,7 +142,8 @@
 	CopiesLost    int64 `json:"copies-lost"`
 	CopiesRefused int64 `json:"copies-refused"`
 	// Moved counts the long-running tasks that were moved out of a failure domain, and
-	// Withdrawn the starts that were withdrawn.
+	// Withdrawn the unconfirmed starts that were taken back because the runner shrank or
+	// its failure domain was drained.
 	Moved     int64 `json:"moved"`
 	Withdrawn int64 `json:"withdrawn"`
 }
@@ -399,8 +401,8 @@
 	t.stalledFor = 0
 	t.stopping = false
 	t.placedAt = time.Time{}
-	t.known = false
-	t.moved = false
+	t.placedHere = false
+	t.superseded = false
 	c.endRun(t)
 	c.markChanged(t.job)
 }
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -10,8 +10,9 @@
 )
 
 // reservePercent is the percentage of a runner's processors that only the most
-// urgent queue may use, and jobs that have waited for long on a mostly idle service. For a long-running task, the reserve is at most what the
-// task needs: one that fits twice is to run however full the service is.
+// urgent queue may use, and jobs that have waited for long on a mostly idle service.
+// For a long-running task, the reserve is at most what the task needs: one that fits
+// twice is to run however full the service is.
 const reservePercent = 6
 
 // chooseRunner returns the best runner for a task, or nil: the best schedulable one
@@ -36,7 +37,7 @@
 	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() && t.roomOn == nil {
 		return c.chooseImproved(now, service, change, w, t)
 	}
-	if c.packs(service, t.spec()) {
+	if c.packsTightly(service, t.spec()) {
 		return c.chooseTight(now, service, w, t, gang)
 	}
 	order := service.orderFor(t.spec())
@@ -66,7 +67,7 @@
 // hold at a change; only the runners that improved since then are considered.
 func (c *Cell) chooseImproved(now time.Time, v *serviceIndex, change uint64, w *candidate, t *task) *runnerState {
 	compare := compareRated(v.orderFor(t.spec()).compare)
-	if c.packs(v, t.spec()) {
+	if c.packsTightly(v, t.spec()) {
 		compare = compareTight(t.spec())
 	}
 	var best *runnerState
--- a/pkg/scheduler/copies.go
+++ b/pkg/scheduler/copies.go
@@ -254,7 +254,7 @@
 // recordDuration records the duration of a run that is done.
 func (c *Cell) recordDuration(now time.Time, t *task) {
 	step := t.spec()
-	if !step.mayHaveCopies() || !t.known {
+	if !step.mayHaveCopies() || !t.placedHere {
 		return
 	}
 	d := now.Sub(t.placedAt)
--- a/pkg/scheduler/copies_test.go
+++ b/pkg/scheduler/copies_test.go
@@ -402,7 +402,7 @@
 			h.mute[h.started[loser]] = false
 			h.pass(500 * time.Millisecond)
 			assert.Assert(t, !containsRun(h.runners[h.started[loser]].Running, loser))
-			assert.Equal(t, h.cell.jobs["j"].extra, 0)
+			assert.Equal(t, h.cell.jobs["j"].extraRuns, 0)
 		})
 	}
 }
--- a/pkg/scheduler/expiry.go
+++ b/pkg/scheduler/expiry.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// requireFor requires the proof for a finished run that is not its task's current one, if the
-// run was done and the task is to run again or does, or if it failed and that was not counted:
-// the run was released without the runner's word, perhaps by a former owner. The agent may know that the lease has expired
-// since the end.
+// requireFor requires the proof for a finished run that is not its task's current one: if the
+// run was done and the task runs or is to run again, or if the run failed and that was not
+// counted. Such a run was released before the runner reported its end, perhaps by a former
+// owner. The agent may know that the lease has expired since the end.
 func (c *Cell) requireFor(s *runnerState, r framer.Report, e framer.FinishedRun) {
 	t := c.taskByName(e.Task)
 	if t == nil || t.spec().LongRunning || t.done && (t.spec().mayHaveCopies() || e.Run == t.run) {
--- a/pkg/scheduler/explanation.go
+++ b/pkg/scheduler/explanation.go
@@ -101,7 +101,7 @@
 	}
 	v := c.index.service(c.service(w.job))
 	compare := compareRated(v.orderFor(step).compare)
-	if c.packs(v, step) {
+	if c.packsTightly(v, step) {
 		compare = compareTight(step)
 	}
 	var refusals [refusalCount]int
@@ -201,7 +201,7 @@
 			c.reservations.runners = append(c.reservations.runners, c.reservable(now, s))
 		}
 	}
-	c.barFor(now, &n, t)
+	c.setBarredFor(now, &n, t)
 	at, parts := reserver.Earliest(now, n, c.reservations.runners)
 	if len(parts) == 0 {
 		return nil, nil
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -90,7 +90,7 @@
 	c.placementDue = true
 	if t.current.runner != nil {
 		t.job.placed--
-		t.job.extra++
+		t.job.extraRuns++
 	}
 	t.done = true
 	t.job.unfinished--
--- a/pkg/scheduler/load.go
+++ b/pkg/scheduler/load.go
@@ -18,7 +18,7 @@
 	maxReportedServices = 8
 )
 
-// demand estimates how long new jobs would wait.
+// demand is the load of all services, from which the waits of new jobs are estimated.
 type demand struct {
 	services   map[string]*serviceLoad
 	observedAt time.Time
@@ -44,13 +44,13 @@
 	}
 }
 
-func (l *demand) service(name string) *serviceLoad {
-	s := l.services[name]
+func (d *demand) service(name string) *serviceLoad {
+	s := d.services[name]
 	if s == nil {
 		s = &serviceLoad{
 			estimates: estimator.NewService(),
 		}
-		l.services[name] = s
+		d.services[name] = s
 	}
 	return s
 }
@@ -87,7 +87,7 @@
 
 // loadCompleted records a completed task with the time since it was placed.
 func (c *Cell) loadCompleted(now time.Time, t *task) {
-	if !t.known || !t.job.spec.Competes() {
+	if !t.placedHere || !t.job.spec.Competes() {
 		return
 	}
 	spent := t.spec().Needs.ProcessorMillis * now.Sub(t.placedAt).Milliseconds()
@@ -125,15 +125,15 @@
 // observeRunner adds a runner and its tasks to the observation. A runner that takes no
 // tasks at present is one that may hold them later.
 func (c *Cell) observeRunner(s *runnerState) {
-	l, known := c.demand.services[s.info.Service]
+	load, known := c.demand.services[s.info.Service]
 	if !known {
-		l = c.demand.service(s.info.Service)
-		l.runners.Begin(s.info.Service)
+		load = c.demand.service(s.info.Service)
+		load.runners.Begin(s.info.Service)
 	}
-	l.runners.Add(s.info.ProcessorMillis, s.info.MemoryBytes, s.info.Accelerators, s.info.Labels)
+	load.runners.Add(s.info.ProcessorMillis, s.info.MemoryBytes, s.info.Accelerators, s.info.Labels)
 	for t := range s.tasks {
 		if step := t.spec(); !step.LongRunning && !s.domainClosed {
-			l.ending += step.allocation().ProcessorMillis
+			load.ending += step.allocation().ProcessorMillis
 		}
 	}
 }
@@ -149,16 +149,16 @@
 			work += int64(r.unfinished[i]) * j.spec.Steps[i].taskWork()
 		}
 	}
-	l := c.demand.service(c.service(j))
-	i := slices.IndexFunc(l.backlogs, func(b estimator.Backlog) bool { return b.Queue == j.spec.Queue })
+	load := c.demand.service(c.service(j))
+	i := slices.IndexFunc(load.backlogs, func(b estimator.Backlog) bool { return b.Queue == j.spec.Queue })
 	if i < 0 {
-		i = len(l.backlogs)
-		l.backlogs = append(l.backlogs, estimator.Backlog{
+		i = len(load.backlogs)
+		load.backlogs = append(load.backlogs, estimator.Backlog{
 			Queue:   j.spec.Queue,
 			Urgency: c.terms(j).Urgency,
 		})
 	}
-	l.backlogs[i].Work += int64(float64(work) * float64(j.unfinished-j.placed) / float64(j.unfinished))
+	load.backlogs[i].Work += int64(float64(work) * float64(j.unfinished-j.placed) / float64(j.unfinished))
 }
 
 // logRefusals logs the queues whose jobs are refused from now on, or no longer.
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -31,7 +31,7 @@
 			old.release(t)
 			s.bind(t)
 			t.stopping = true
-			t.moved = true
+			t.superseded = true
 			c.markChanged(t.job)
 		}
 	}
--- a/pkg/scheduler/ordering.go
+++ b/pkg/scheduler/ordering.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// recordStart records a start for the floors and the estimates.
+// recordStart records a start for the floors.
 func (c *Cell) recordStart(now time.Time, t *task) {
 	work := int64(0)
 	if !t.spec().LongRunning {
--- a/pkg/scheduler/packing.go
+++ b/pkg/scheduler/packing.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// packs reports whether the tasks of a step go to the runners that they fill most
+// packsTightly reports whether the tasks of a step go to the runners that they fill most
 // tightly, so that whole gaps remain for a large task that waits. Best-effort tasks
 // use idle processors, and latency-critical ones are packed in any case.
-func (c *Cell) packs(v *serviceIndex, step *Step) bool {
+func (c *Cell) packsTightly(v *serviceIndex, step *Step) bool {
 	if c.reservations == nil || step.BestEffort || step.TargetMillis > 0 {
 		return false
 	}
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -198,7 +198,7 @@
 	t.lastRun = max(t.lastRun, t.run) + 1
 	t.run = t.lastRun
 	t.placedAt = now
-	t.known = true
+	t.placedHere = true
 	t.job.state = StateRunning
 	c.Counts.Starts++
 	c.cfg.LogEvent("run placed", "task", t.name(), "run", t.run, "runner", s.key.ID, "born-millis", s.key.StartedAtMillis,
--- a/pkg/scheduler/placing_reference_test.go
+++ b/pkg/scheduler/placing_reference_test.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		r, millis := c.rate(now, s, t, gang), s.idleMillis()
-		if c.packs(c.index.service(s.info.Service), t.spec()) {
+		if c.packsTightly(c.index.service(s.info.Service), t.spec()) {
 			// The tightest runner is the best, unless it has too few idle processors.
 			tight := compareTight(t.spec())
 			if best == nil || tight(s, best, r, bestRating) < 0 {
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -149,7 +149,7 @@
 	}
 	c.collectRunners(now, reserved)
 	for i := range p.needs {
-		c.bar(now, &p.needs[i])
+		c.setBarred(now, &p.needs[i])
 	}
 	p.reserver.Plan(now, p.needs, p.runners)
 	for i := range p.needs {
@@ -188,7 +188,7 @@
 		if since.IsZero() || now.Sub(since) < reserveAfter {
 			continue
 		}
-		if !c.deserves(w) {
+		if !c.mayReserve(w) {
 			continue
 		}
 		if t := c.nextTask(now, w); t != nil {
@@ -197,8 +197,9 @@
 	}
 }
 
-// deserves reports whether the tasks of a step are large, or one has a reservation.
-func (c *Cell) deserves(w *candidate) bool {
+// mayReserve reports whether room may be reserved for a step: its tasks are large, or one
+// has a reservation.
+func (c *Cell) mayReserve(w *candidate) bool {
 	if c.index.service(c.service(w.job)).sizes.large(&w.job.spec.Steps[w.step]) {
 		return true
 	}
@@ -260,14 +261,15 @@
 	return n
 }
 
-// bar sets which of the runners in the plan a need cannot use, whatever is free there.
-func (c *Cell) bar(now time.Time, n *reserver.Need) {
+// setBarred sets which of the runners in the plan a need cannot use, whatever is free
+// there.
+func (c *Cell) setBarred(now time.Time, n *reserver.Need) {
 	r := c.jobs[n.Key.Job].occurrences[n.Key.Occurrence]
-	c.barFor(now, n, r.steps[n.Key.Step][0])
+	c.setBarredFor(now, n, r.steps[n.Key.Step][0])
 }
 
-// barFor is like bar, for the need of a task.
-func (c *Cell) barFor(now time.Time, n *reserver.Need, t *task) {
+// setBarredFor is like setBarred, for the need of a task.
+func (c *Cell) setBarredFor(now time.Time, n *reserver.Need, t *task) {
 	step := t.spec()
 	if step.Requires == "" && step.AntiAffinity == 0 && c.cfg.ColdRuns == 0 {
 		return
--- a/pkg/scheduler/second_run.go
+++ b/pkg/scheduler/second_run.go
@@ -38,7 +38,7 @@
 // countPlaced counts a run that is placed, or reverts that.
 func (c *Cell) countPlaced(t *task, n int) {
 	if t == t.copy || t.done {
-		t.job.extra += n
+		t.job.extraRuns += n
 		return
 	}
 	t.job.placed += n
@@ -78,12 +78,12 @@
 
 // ended reports whether the job is in a final state and none of its runs is left.
 func (j *job) ended() bool {
-	return j.state.Final() && j.placed+j.extra == 0
+	return j.state.Final() && j.placed+j.extraRuns == 0
 }
 
 // rowRoom returns how many more runs the job's row can hold.
 func (j *job) rowRoom() int {
-	return j.maxPlaced - j.placed - j.extra - j.listedCopies
+	return j.maxPlaced - j.placed - j.extraRuns - j.listedCopies
 }
 
 // listCopy records whether the row must list the copy of a task: there is one, or its
@@ -178,5 +178,5 @@
 // mayStart reports whether the run has neither ended nor been listed.
 func (u unsettledRun) mayStart() bool {
 	t := u.task
-	return t != nil && t.runner != nil && t.run == u.run && (!t.listed || t.moved)
+	return t != nil && t.runner != nil && t.run == u.run && (!t.listed || t.superseded)
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -22,13 +22,14 @@
 	occurrences []*occurrence
 	// unfinished counts the tasks that are not done.
 	unfinished int
-	// placed counts the tasks that are placed on a runner and not done. extra counts the
-	// other runs that are placed: copies, and runs that are left of tasks that are done.
-	placed int
-	extra  int
+	// placed counts the tasks that are placed on a runner and not done. extraRuns counts
+	// the other runs that are placed: copies, and runs that are left of tasks that are
+	// done.
+	placed    int
+	extraRuns int
 	// listedCopies counts the tasks with an entry in Progress.Copies.
 	listedCopies int
-	// maxPlaced limits placed, extra and listedCopies together.
+	// maxPlaced limits placed, extraRuns and listedCopies together.
 	maxPlaced int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
@@ -80,8 +81,8 @@
 	copy    *task
 	// lastRun is the highest run number so far.
 	lastRun int
-	// copyable is set while the task is in the cell's list of that name, listedCopy
-	// while it has an entry in Progress.Copies.
+	// copyable is set while the task is in copies.tasks, the running tasks that may get a
+	// copy, and listedCopy while it has an entry in Progress.Copies.
 	copyable   bool
 	listedCopy bool
 	// refusedRun is the last run that got no copy because of the budget.
@@ -154,17 +155,17 @@
 	roomOn *runnerState
 	// stopping is set while a stop is requested for the run.
 	stopping bool
-	// placedAt is when the run was placed, or when this owner read that it was; known is
-	// set in the first case.
-	placedAt time.Time
-	known    bool
+	// placedAt is when the run was placed, or when this owner read that it was. placedHere
+	// is set if this owner placed it.
+	placedAt   time.Time
+	placedHere bool
 	// copyOf is the run of which this one was started as a copy; 0 if it was not.
 	copyOf int
 	// copyService is the service whose budget for copies the run uses; empty if none.
 	copyService string
-	// moved is set once the run may be in a later incarnation of its runner than the
+	// superseded is set once the run may be in a later incarnation of its runner than the
 	// one that listed it.
-	moved bool
+	superseded bool
 }
 
 func (t *task) spec() *Step {
--- a/pkg/supervisor/core.go
+++ b/pkg/supervisor/core.go
@@ -132,8 +132,7 @@
 	// replaced is the incarnation that the known one replaced.
 	replaced framer.RunnerKey
 	// clockMillis is the latest reading of the runner's clock, or 0 if there is
-	// none yet. clockRead and clockReadAt
-	// are the reading from which clockByNow counts.
+	// none yet. clockRead and clockReadAt are the reading from which clockByNow counts.
 	clockMillis int64
 	clockRead   int64
 	clockReadAt time.Time
