--- a/pkg/controller/admission.go
+++ b/pkg/controller/admission.go
@@ -44,8 +44,9 @@
 	return u.open == 0 && !now.Before(u.unknownUntil)
 }
 
-// observe takes over the report of a lease row. It was made after the version before
-// it was read; of the first version that the entry reads, the age is unknown.
+// observe takes over the report of a lease row. The owner made it after this entry had
+// read the previous version, which bounds its age. The age of the report in the first
+// version that the entry reads is unknown.
 func (a *admission) observe(now time.Time, version uint64, report estimator.Report) {
 	if version <= a.version {
 		return
--- a/pkg/controller/table_watcher.go
+++ b/pkg/controller/table_watcher.go
@@ -13,8 +13,8 @@
 const (
 	// watchTimeout is how long the store may delay the reply to a watch
 	// request. It is short, so that a connection that went silent is noticed.
-	// orderWatchTimeout is the same for the operator table where orders to drain
-	// have a bound: each reply shows that there is no newer order.
+	// orderWatchTimeout replaces it for the operator table if starts after an order
+	// to drain are bounded: each reply shows that there is no newer order.
 	watchTimeout      = time.Second
 	orderWatchTimeout = 400 * time.Millisecond
 	// watchRetryDelay is the delay after a request that failed.
--- a/pkg/supervisor/lease.go
+++ b/pkg/supervisor/lease.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// clockByNow returns what the runner's clock shows now at least, unless it is slower than it
-// may be. A reading that waited in a socket while the agent's process was stopped shows less,
-// and is not used.
+// clockByNow returns the least that the runner's clock can show now, given the drift that is
+// permitted. advanceClock counts from no reading that is lower: it waited in a socket while
+// the agent's process was stopped.
 func (c *Core) clockByNow(now time.Time) int64 {
 	return c.clockRead + now.Sub(c.clockReadAt).Milliseconds()*(100-clockDriftPercent)/100
 }
