--- a/pkg/scheduler/draining_test.go
+++ b/pkg/scheduler/draining_test.go
@@ -49,8 +49,9 @@
 	}
 }
 
-// The most common load: the domain is full when the order comes, and the others are nearly
-// full. What runs there completes, nothing else starts there, and what waits goes elsewhere.
+// Guards against starts in a drained domain, against stops of what runs there and ends by
+// itself, and against waiting tasks that do not go elsewhere. The domain is full when the
+// order comes, and the others are nearly full.
 func TestFullDomainThatIsOrderedDrainedGetsNoStart(t *testing.T) {
 	h := newDomainsHarness(t, "east", "west")
 	h.add("first", "checks", newStep(60, 1000))
@@ -70,7 +71,8 @@
 	assert.Equal(t, h.placedOn("east"), 8, "a domain that returns takes what waits")
 }
 
-// An order that comes between the placement and the agent's answer withdraws the start.
+// Guards against a start that stays requested although the order came before the agent's
+// answer.
 func TestUnacceptedStartInDrainedDomainIsWithdrawn(t *testing.T) {
 	for _, sent := range []bool{false, true} {
 		t.Run("sent "+strconv.FormatBool(sent), func(t *testing.T) {
@@ -120,6 +122,7 @@
 	assert.DeepEqual(t, h.cell.Sync(h.now, "east", true).Stops, []framer.RunRef{runRef("j.0.0.1", 1)})
 }
 
+// Guards against starts on a runner that registers after its domain was ordered drained.
 func TestRunnerThatRegistersInDrainedDomainGetsNoStart(t *testing.T) {
 	h := newDomainsHarness(t)
 	h.order("east")
@@ -196,7 +199,8 @@
 	assert.Equal(t, len(h.cell.Sync(h.now, "east", true).Starts), 2)
 }
 
-// newMovesHarness returns a cell that has a long-running step of three tasks in a domain, and room elsewhere.
+// newMovesHarness returns a cell that has a long-running step of three tasks in a domain,
+// and room elsewhere.
 func newMovesHarness(t *testing.T, maxUnavailable int) *cellHarness {
 	h := newDomainsHarness(t, "east")
 	step := longRunningStep(3, 1000)
@@ -210,7 +214,8 @@
 	return h
 }
 
-// A long-running step is moved one task at a time, the next one once the last one is at work.
+// Guards against moves of several tasks of a step at a time: the next one is moved once the
+// last one is at work.
 func TestLongRunningTasksAreMovedOneAtATime(t *testing.T) {
 	for _, maxUnavailable := range []int{0, 1, 2} {
 		t.Run(strconv.Itoa(maxUnavailable), func(t *testing.T) { testMovesOneAtATime(t, maxUnavailable) })
@@ -243,7 +248,8 @@
 	assert.Equal(t, h.cell.Counts.Moved, int64(3))
 }
 
-// With one task down for another reason, or without room elsewhere, none is stopped.
+// Guards against moves of tasks of which one is down for another reason, or for which there
+// is no room elsewhere.
 func TestLongRunningTasksThatMayNotMoveStay(t *testing.T) {
 	t.Run("as many as allowed are unavailable", func(t *testing.T) {
 		h := newMovesHarness(t, 1)
@@ -275,7 +281,7 @@
 	})
 }
 
-// The room for a task on its way is not given to others.
+// Guards against a moved task that waits because another one got the room held for it.
 func TestRoomIsHeldForTaskOnItsWay(t *testing.T) {
 	h := newMovesHarness(t, 1)
 	h.order("east")
@@ -289,7 +295,7 @@
 	assert.Equal(t, h.placedOn("west"), 32)
 }
 
-// A runner that is cold after its start gets its load in steps.
+// Guards against a cold runner that gets its whole load at once.
 func TestColdRunnerIsLoadedInSteps(t *testing.T) {
 	h := newDomainsHarness(t, "east")
 	h.cell.cfg.ColdRuns = 2
