Add review case 7: a reservation keeps jobs from idle runners

Cause: while room is reserved for a large gang, a task that lasts starts on none of its runners, however much of them is free and however long it waits.

--- a/review/_players/main.go
+++ b/review/_players/main.go
@@ -15,8 +15,9 @@
 
 // scripts maps the name of a case to its script.
 var scripts = map[string]func(c *scene) error{
-	"soak":      soak,
-	"heartbeat": heartbeat,
+	"soak":        soak,
+	"heartbeat":   heartbeat,
+	"reservation": reservation,
 }
 
 // scene is what a script gets.
--- a/review/_players/runner.go
+++ b/review/_players/runner.go
@@ -71,16 +71,18 @@
 
 // runner is one incarnation of a runner. The lock of the world protects it.
 type runner struct {
-	w         *world
-	id        string
-	addr      string
-	registry  string
-	zone      string
-	labels    []string
-	cpu, mem  int64
-	started   time.Time
-	born      int64
-	up        bool
+	w        *world
+	id       string
+	addr     string
+	registry string
+	zone     string
+	labels   []string
+	cpu, mem int64
+	started  time.Time
+	born     int64
+	up       bool
+	// backMs is how far the time of day is set back.
+	backMs    int64
 	draining  bool
 	fence     uint64
 	leaseEnd  int64
@@ -114,7 +116,7 @@
 		return err
 	}
 	r.started = time.Now()
-	r.born = r.started.UnixMilli()
+	r.born = r.started.UnixMilli() - r.backMs
 	r.up = true
 	r.active, r.highest, r.changed = map[string]*activeRun{}, map[string]int{}, make(chan struct{})
 	r.conns = map[net.Conn]struct{}{}
--- a/review/_players/soak.go
+++ b/review/_players/soak.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -172,8 +173,8 @@
 	var group sync.WaitGroup
 	for time.Now().Before(end) {
 		kind := r.Intn(13)
-		if n, err := strconv.Atoi(only); err == nil {
-			kind = n
+		if kinds := strings.Fields(only); len(kinds) > 0 {
+			kind, _ = strconv.Atoi(kinds[r.Intn(len(kinds))])
 		}
 		group.Add(1)
 		d := time.Duration(300+r.Intn(5000)) * time.Millisecond
@@ -228,10 +229,13 @@
 				time.Sleep(d / 4)
 				w.mu.Lock()
 				n := &runner{w: w, id: old.id, addr: old.addr, registry: old.registry, zone: old.zone, labels: old.labels, cpu: old.cpu, mem: old.mem}
-				if x < 0.5 {
+				if x < 0.3 {
 					n.id = old.id + "x"
 				}
 				w.runners[i] = n
+				if x < 0.5 && x > 0.35 || x > 0.85 {
+					n.backMs = 2000
+				}
 				for try := 0; n.power() != nil && try < 50; try++ {
 					w.mu.Unlock()
 					time.Sleep(50 * time.Millisecond)
