--- a/review/_players/system.go
+++ b/review/_players/system.go
@@ -24,9 +24,11 @@
 	settings string
 	binary   string
 	logs     string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	done     chan struct{}
+	// env is added to the environment of the process.
+	env  []string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 	// turn is held while the process is restarted.
 	turn sync.Mutex
 }
@@ -39,7 +41,7 @@
 		return err
 	}
 	cmd := exec.Command(p.binary, "fleet", p.role)
-	cmd.Env = append(os.Environ(), "BILBERRYWALK_CONFIG="+p.settings)
+	cmd.Env = append(append(os.Environ(), "BILBERRYWALK_CONFIG="+p.settings), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
