Add review case 6: scheduled jobs make every owner exceed its memory

Cause: an owner allocates all tasks of all occurrences of a job at once, and nothing bounds their number over all jobs.

--- a/review/_players/main.go
+++ b/review/_players/main.go
@@ -15,6 +15,7 @@
 
 // scripts maps the name of a case to its script.
 var scripts = map[string]func(c *scene) error{
+	"timed":       timed,
 	"soak":        soak,
 	"crowd":       crowd,
 	"heartbeat":   heartbeat,
