--- a/review/_players/main.go
+++ b/review/_players/main.go
@@ -16,6 +16,7 @@
 // scripts maps the name of a case to its script.
 var scripts = map[string]func(c *scene) error{
 	"timed":       timed,
+	"restarted":   restarted,
 	"soak":        soak,
 	"crowd":       crowd,
 	"heartbeat":   heartbeat,
--- a/review/_players/runner.go
+++ b/review/_players/runner.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	maxLease       = 6 * time.Second
 	stopTime       = 100 * time.Millisecond
 	gangTimeout    = 3 * time.Second
 	checkpointTime = time.Second
@@ -24,6 +23,9 @@
 	maxHoldWait    = 2 * time.Second
 )
 
+// maxLease is the longest lease that a runner grants, MaxHoldMs of the site.
+var maxLease = 6 * time.Second
+
 // taskKey names a task: ID.K.STEP.INDEX.
 type taskKey struct {
 	id           string
--- a/review/_players/system.go
+++ b/review/_players/system.go
@@ -184,7 +184,7 @@
 	go http.Serve(l, d)
 	s.doors = append(s.doors, d)
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\nfailure-domain = %q\nlink = %q\nstore = %q\nlongest-lease = \"6000ms\"\ngrace = \"6s\"\n", name, zone, freeAddress(), l.Addr())
+	fmt.Fprintf(&b, "name = %q\nfailure-domain = %q\nlink = %q\nstore = %q\nlongest-lease = \"%dms\"\ngrace = \"6s\"\n", name, zone, freeAddress(), l.Addr(), maxLease.Milliseconds())
 	for k, v := range more {
 		if text, ok := v.(string); ok {
 			fmt.Fprintf(&b, "%s = %q\n", k, text)
