Add review case 9: a job whose checkpoints outgrow its row never runs again

Cause: the limit of the tasks that are placed at once reckons with 24 bytes for a checkpoint; a row that is larger than the store takes is written again for ever. Done: a script with one wide job and an outage of all entries.

--- a/review/_players/main.go
+++ b/review/_players/main.go
@@ -17,6 +17,7 @@
 var scripts = map[string]func(c *scene) error{
 	"timed":       timed,
 	"restarted":   restarted,
+	"saved":       saved,
 	"soak":        soak,
 	"crowd":       crowd,
 	"heartbeat":   heartbeat,
--- a/review/_players/system.go
+++ b/review/_players/system.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -109,8 +110,17 @@
 )
 
 func freeAddress() string {
-	nextPort++
-	return fmt.Sprintf("%s:%d", host, nextPort)
+	for {
+		nextPort++
+		address := fmt.Sprintf("%s:%d", host, nextPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+		if nextPort > 9000 {
+			return address
+		}
+	}
 }
 
 var zones = []string{"quito-norte", "quito-sur", "cumbaya"}
@@ -131,6 +141,7 @@
 		return nil, err
 	}
 	s := &system{w: w, dir: dir, binary: binary, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	s.stopOnSignal()
 	w.store.put("op", "config", s.config(1))
 	for i := 0; i < sh.entries; i++ {
 		name := fmt.Sprintf("front-%d", i+1)
@@ -244,6 +255,17 @@
 	}
 }
 
+// stopOnSignal ends all processes if this one is told to end.
+func (s *system) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		s.stop()
+		os.Exit(exitUnrun)
+	}()
+}
+
 // stop ends all processes.
 func (s *system) stop() {
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
--- a/review/_players/world.go
+++ b/review/_players/world.go
@@ -80,9 +80,11 @@
 	startsOf map[string][]endNote
 	saves    map[string]savedWork
 	nextSave int
-	broken   []string
-	disturbs bool
-	store    *store
+	// savedBytes is the size of the values of Saved; 16 at least.
+	savedBytes int
+	broken     []string
+	disturbs   bool
+	store      *store
 }
 
 type savedWork struct {
@@ -171,7 +173,7 @@
 
 func (w *world) checkpoint(a *activeRun) string {
 	w.nextSave++
-	name := fmt.Sprintf("%016x", w.nextSave)
+	name := fmt.Sprintf("%016x", w.nextSave) + strings.Repeat("0", max(0, w.savedBytes-16))
 	w.saves[name] = savedWork{
 		gang:   fmt.Sprintf("%s.%d.%d", a.key.id, a.key.k, a.key.step),
 		task:   a.task,
