--- a/review/_players/main.go
+++ b/review/_players/main.go
@@ -20,6 +20,7 @@
 	"saved":       saved,
 	"soak":        soak,
 	"crowd":       crowd,
+	"foreign":     foreign,
 	"heartbeat":   heartbeat,
 	"reservation": reservation,
 }
