--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the third review; the system itself is built as the deploy file says.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-fleet3 ./review/_fleet3
