--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption. It needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bilberrywalk ] && [ -x target/review-fleet3 ] || exit 2
-exec target/review-fleet3 added review/13/record.txt
+exec target/review-fleet3 blamed review/13/record.txt
