Give a task up only for crashes that are proven

A new owner read such a count from the job's row and could not withdraw it at all. ruled out: an end `failed` that counts as an attempt (none is logged); the end `done` processed late (the job had ended 2 s before the runner could list it). change: the record holds proven crashes alone, and only it ends a job. A run lost with the lease of its runner is a lapse: withdrawn once the runner lists its runs again, a crash once the runner is replaced, forgotten after 10 minutes. Until then its task is a suspect; with five crashes and lapses its next start waits.

--- a/pkg/experimenter/steps_agent_test.go
+++ b/pkg/experimenter/steps_agent_test.go
@@ -24,8 +24,8 @@
 	sequence          int64
 	partitioned       bool
 	runnerUnreachable bool
-	// crashed is set while the runner refuses connections after a crash.
-	crashed bool
+	// refusesCalls is set while the runner refuses connections: after a crash, or cut off.
+	refusesCalls bool
 	// lossRate is the share of calls to the runner that get no response and are
 	// executed late.
 	lossRate float64
@@ -190,7 +190,7 @@
 		callRunnerBadly(sim, a, execute, reply)
 		return
 	}
-	if a.crashed {
+	if a.refusesCalls {
 		var zero T
 		sim.After(delay, func() {
 			reply(zero, &supervisor.NotSentError{
--- a/pkg/experimenter/steps_crashing_test.go
+++ b/pkg/experimenter/steps_crashing_test.go
@@ -37,6 +37,8 @@
 	// crashing reports whether a task crashes each runner that starts it; nil if
 	// none does.
 	crashing func(task string) bool
+	// started is called whenever a runner has started a run; it may be nil.
+	started func(a *stepsAgent, ref framer.RunRef)
 	// downtime is the shortest time for which a crashed runner is away.
 	downtime time.Duration
 	// under counts the crashes of runners under each task, and startsAfter the
@@ -50,6 +52,9 @@
 
 // crashingStarted records the start of a task that crashes its runner.
 func (sim *stepsSimulation) crashingStarted(a *stepsAgent, r *emulator.StepRunner, ref framer.RunRef) {
+	if sim.crashes.started != nil {
+		sim.crashes.started(a, ref)
+	}
 	if sim.crashes.crashing == nil || !sim.crashes.crashing(ref.Task) {
 		return
 	}
@@ -80,14 +85,14 @@
 	}
 	sim.crashes.total++
 	a.runnerUnreachable = true
-	a.crashed = true
+	a.refusesCalls = true
 	sim.replaceRunner(a)
 	if sim.rnd.IntN(2) == 0 {
 		a.runner.Key.ID = fmt.Sprintf("runner-%d-of-%s", sim.crashes.total, a.name)
 	}
 	sim.After(sim.crashes.downtime+time.Duration(sim.rnd.Int64N(int64(downtimeSpread))), func() {
 		a.runnerUnreachable = false
-		a.crashed = false
+		a.refusesCalls = false
 	})
 }
 
--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -64,6 +64,7 @@
 	incarnations *incarnations
 	index        *runnerIndex
 	syncs        *syncQueue
+	lapses       *lapses
 	// agents holds the runner that each agent reports, by the agent's address.
 	agents map[string]*runnerState
 	// unplaced lists the jobs with tasks that are neither done nor placed.
@@ -164,6 +165,7 @@
 		incarnations: newIncarnations(),
 		index:        newRunnerIndex(),
 		syncs:        &syncQueue{},
+		lapses:       newLapses(),
 		agents:       map[string]*runnerState{},
 		changed:      map[*job]uint64{},
 		commitLimit:  maxCommitRows,
@@ -279,6 +281,7 @@
 		c.loadCopy(seenAt, j, tasks, row)
 	}
 	p.loadReleased(tasks)
+	c.loadLapses(seenAt, tasks, p.Lapsed)
 }
 
 // loadRun restores a run that may be on a runner.
@@ -433,6 +436,7 @@
 	if now.Sub(c.expiryCheckedAt) >= expiryInterval {
 		c.expiryCheckedAt = now
 		c.expireLeases(now)
+		c.expireLapses(now)
 		c.watchWaits(now)
 		c.watchDomains(now)
 		c.retryRejected(now)
--- a/pkg/scheduler/choosing.go
+++ b/pkg/scheduler/choosing.go
@@ -34,7 +34,7 @@
 	service := c.index.service(c.service(w.job))
 	// A runner may be reserved for a suspect, or hold room for a task that is moved, that
 	// the other tasks of its step cannot use.
-	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.record.suspect() && t.roomOn == nil {
+	if change := c.fullUpTo(w); change > 0 && len(gang) == 0 && !t.spec().Gang && !t.suspect() && t.roomOn == nil {
 		return c.chooseImproved(now, service, change, w, t)
 	}
 	if c.packsTightly(service, t.spec()) {
@@ -201,7 +201,7 @@
 	r := rating{
 		penalty: penaltyOf(now, s, t, gang),
 	}
-	if t.record.suspect() {
+	if t.suspect() {
 		r.exposure = s.exposureTo(now, t)
 	}
 	if step := t.spec(); step.TargetMillis > 0 {
--- a/pkg/scheduler/copies.go
+++ b/pkg/scheduler/copies.go
@@ -116,7 +116,7 @@
 // owner may not know yet. A suspect is tried alone. While rows can't be written, a copy
 // could not start either.
 func (c *Cell) mayHaveCopy(t *task) bool {
-	return t.failures+1 < c.terms(t.job).MaxFailures && !t.record.suspect() && t.committedRun == t.run && t.job.rowRoom() >= copyRowRoom
+	return t.failures+1 < c.terms(t.job).MaxFailures && !t.suspect() && t.committedRun == t.run && t.job.rowRoom() >= copyRowRoom
 }
 
 func (c *Cell) copyCandidate(now time.Time, t *task) speculator.Candidate[*task] {
--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -24,7 +24,6 @@
 // recordCrash records that a runner was replaced by a later incarnation, or by
 // another runner at its address, although it had not announced its end.
 func (c *Cell) recordCrash(now time.Time, s *runnerState) {
-	s.lapses = nil
 	if s.info.Draining || s.info.Left {
 		return
 	}
@@ -40,7 +39,7 @@
 	var next *task
 	for _, t := range runs {
 		c.attributeCrash(now, t, n)
-		if t.record.suspect() && t.copy == nil && (next == nil || t.record.suspicion > next.record.suspicion) {
+		if t.suspect() && t.copy == nil && (next == nil || t.presumedRecord().suspicion > next.presumedRecord().suspicion) {
 			next = t
 		}
 	}
@@ -49,44 +48,6 @@
 	}
 }
 
-// lapse is a run that ended with the lease of its runner, and what that added to the
-// record of its task.
-type lapse struct {
-	task  *task
-	added crashRecord
-}
-
-// recordLapse counts the end of a runner's lease as a crash, until the runner turns out
-// to live: it may be back too late for the crash to be counted before the next start.
-func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
-	n := s.suspects()
-	for _, t := range lost {
-		if t.startSent && !t.done && t.crashedRun != t.run {
-			before := t.record
-			c.attributeCrash(now, t, n)
-			s.lapses = append(s.lapses, lapse{
-				task: t,
-				added: crashRecord{
-					crashes:   t.record.crashes - before.crashes,
-					suspicion: t.record.suspicion - before.suspicion,
-				},
-			})
-		}
-	}
-}
-
-// refuteLapses withdraws what the end of the runner's lease added, since the runner has
-// listed its runs after that.
-func (c *Cell) refuteLapses(s *runnerState) {
-	for _, l := range s.lapses {
-		r := &l.task.record
-		r.crashes = max(0, r.crashes-l.added.crashes)
-		r.suspicion = max(0, r.suspicion-l.added.suspicion)
-		c.markChanged(l.task.job)
-	}
-	s.lapses = nil
-}
-
 // mayCrashByStart reports whether the task's run may have started and has not survived
 // its start.
 func (t *task) mayCrashByStart() bool {
@@ -121,38 +82,59 @@
 	return n
 }
 
-// attributeCrash counts the crash of its runner against a task, and gives the task up if
-// its record is conclusive. A run that has survived its start is no cause of a crash that
-// another start explains.
+// attributeCrash counts the proven crash of its runner against a task, and gives the task up
+// if its record is conclusive.
 func (c *Cell) attributeCrash(now time.Time, t *task, n suspects) {
+	added := t.crashEvidence(n)
+	if added == (crashRecord{}) {
+		return
+	}
+	t.record.crashes += added.crashes
+	t.record.suspicion += added.suspicion
+	c.markChanged(t.job)
+	c.delaySuspect(now, t)
+	c.giveUpIfProven(now, t)
+}
+
+// crashEvidence returns what a crash of its runner adds to the record of a task, once for each
+// run. A run that has survived its start is no cause of a crash that another start explains.
+func (t *task) crashEvidence(n suspects) crashRecord {
 	s := t.runner
 	t.crashedRun = t.run
 	if s.reported && t.survivedStart() && n.explaining > 0 {
-		return
+		return crashRecord{}
 	}
 	again := s.info.Address != "" && slices.Contains(t.crashedAt, s.info.Address)
-	if !again {
-		t.crashedAt = append(t.crashedAt, s.info.Address)
+	t.crashedAt = append(t.crashedAt, s.info.Address)
+	added := crashRecord{
+		crashes: 1,
 	}
 	switch {
 	case !s.reported || !t.mayCrashByStart():
 	case again || !t.explainsCrash():
-		t.record.suspicion += doubtfulSuspicion
-	case n.unproven == 1 && t.record.suspect():
-		t.record.suspicion += soleSuspicion
+		added.suspicion = doubtfulSuspicion
+	case n.unproven == 1 && t.suspect():
+		added.suspicion = soleSuspicion
 	default:
-		t.record.suspicion += sharedSuspicion
+		added.suspicion = sharedSuspicion
 	}
-	t.record.crashes++
-	if t.record.suspect() && len(s.tasks) > 1 {
+	return added
+}
+
+// delaySuspect delays the next start of a suspect that was lost together with others.
+func (c *Cell) delaySuspect(now time.Time, t *task) {
+	if t.suspect() && len(t.runner.tasks) > 1 {
 		t.notBefore = now.Add(suspectDelay)
 	}
-	c.markChanged(t.job)
-	if !t.record.conclusive() || t.job.state.Final() {
+}
+
+// giveUpIfProven ends the job of a task if the proven crashes are conclusive.
+func (c *Cell) giveUpIfProven(now time.Time, t *task) {
+	if !t.record.conclusive() || t.done || t.job.state.Final() {
 		return
 	}
 	c.Counts.GivenUp++
-	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "runner", s.key.ID,
-		"crashes", t.record.crashes, "suspicion", t.record.suspicion)
+	c.cfg.LogEvent("task given up", "task", t.name(), "run", t.run, "crashes", t.record.crashes, "suspicion", t.record.suspicion,
+		"unproven", len(t.lapses))
 	c.endJob(now, t.job, StateFailed)
 }
--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -43,17 +43,21 @@
 // runners once it has survived that, and everything once a long-running task has
 // been at work for long.
 func (c *Cell) clearRecord(now time.Time, t *task) {
-	before := t.record
+	before := t.presumedRecord()
 	if before == (crashRecord{}) {
 		return
 	}
 	if t.survivedStart() {
 		t.record.suspicion = 0
+		for _, run := range t.lapses {
+			run.added.suspicion = 0
+		}
 	}
 	if t.provesRunner(now) {
 		t.record = crashRecord{}
+		t.lapses = nil
 	}
-	if t.record != before {
+	if t.presumedRecord() != before {
 		c.markChanged(t.job)
 	}
 }
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -254,10 +254,12 @@
 		delete(h.runners, agent)
 		h.cell.AgentDisconnected(agent)
 		h.advance(MaxLease(testLease) + time.Second)
-		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{
+		lost := h.cell.taskByName("j.0.0.0")
+		assert.Equal(t, lost.presumedRecord(), crashRecord{
 			crashes:   1,
 			suspicion: doubtfulSuspicion,
 		})
+		assert.Equal(t, lost.record, crashRecord{}, "nothing is proven")
 		return h, agent, r
 	}
 	t.Run("the runner is replaced", func(t *testing.T) {
@@ -268,13 +270,14 @@
 			crashes:   1,
 			suspicion: doubtfulSuspicion,
 		}, "it is counted once")
+		assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord().crashes, 1)
 	})
 	t.Run("the runner is back", func(t *testing.T) {
 		h, agent, r := silence(t)
 		h.runners[agent] = r
 		r.Running = nil
 		h.report(agent)
-		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{})
+		assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord(), crashRecord{})
 	})
 }
 
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -152,6 +152,9 @@
 	// after them have some too.
 	Released     []ReleasedRuns `cbor:"released,omitempty"`
 	MoreReleased bool           `cbor:"more-released,omitempty"`
+	// Lapsed lists the runners that were lost with runs of the job and may have crashed
+	// under them.
+	Lapsed []LapsedRunner `cbor:"lapsed,omitempty"`
 	// EndedAtMillis is when the job reached a final state, in milliseconds
 	// since 1970.
 	EndedAtMillis int64 `cbor:"ended-at-millis,omitempty"`
--- a/pkg/scheduler/lost_runner.go
+++ b/pkg/scheduler/lost_runner.go
@@ -5,6 +5,7 @@
 // replaceEarlier replaces the earlier incarnations of a runner and the earlier
 // runners with its address.
 func (c *Cell) replaceEarlier(now time.Time, s *runnerState) {
+	c.proveLapses(now, s)
 	for _, old := range c.incarnations.earlier(s) {
 		if old.key.ID == s.key.ID {
 			c.supersede(now, old, s)
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -119,7 +119,7 @@
 
 // pending reports whether a task may be placed now.
 func (t *task) pending(now time.Time) bool {
-	return !t.done && t.runner == nil && !now.Before(t.notBefore)
+	return !t.done && t.runner == nil && !now.Before(t.notBefore) && !t.awaitsProof()
 }
 
 // collectWaiting sets c.waiting to the steps with tasks that may start now, in
@@ -209,7 +209,7 @@
 	c.bind(s, t)
 	c.startReserved(now, s, t)
 	c.watchForCopies(t)
-	if t.record.suspect() {
+	if t.suspect() {
 		s.beginTrial(now, t)
 	}
 	// The start is granted in the runner's clock as last read. A longer wait
--- a/pkg/scheduler/reservations.go
+++ b/pkg/scheduler/reservations.go
@@ -218,7 +218,7 @@
 		placeable = w.job.rowRoom() >= len(tasks) && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
 	}
 	// A suspect waits for a runner of its own.
-	if !placeable || t.record.suspect() {
+	if !placeable || t.suspect() {
 		return nil
 	}
 	return t
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -61,5 +61,8 @@
 			size += placedTaskBytes
 		}
 	}
+	for i := range p.Lapsed {
+		size += p.Lapsed[i].size()
+	}
 	return size
 }
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -128,9 +128,6 @@
 	quarantinedUntil time.Time
 	// lastPlacedAt is when a task was last placed on the runner.
 	lastPlacedAt time.Time
-	// lapses are the runs that were lost when the runner's lease expired, unless it has
-	// listed its runs since.
-	lapses []lapse
 	// trial is the last suspect for which the runner was reserved, or that was placed
 	// there. It gets no other task until trialUntil, unless the suspect survives its
 	// start before that.
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -91,8 +91,10 @@
 	done       bool
 	failures   int
 	checkpoint string
-	// record is what speaks for that the task crashes its runners.
+	// record is what proven crashes of its runners say of the task, and lapses are its runs
+	// under which a runner may have crashed.
 	record crashRecord
+	lapses []*lapse
 	// released are the runs that were released because of an expired lease.
 	released releasedRuns
 	// crashedAt lists the addresses of the runners that crashed under the task, as far
@@ -336,6 +338,7 @@
 			p.Copies = append(p.Copies, t.copyProgress(i))
 		}
 	}
+	p.recordLapses(tasks)
 	return p
 }
 
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -342,6 +342,8 @@
 	gang := t.spec().Gang
 	memberPlaced := func(member *task) bool { return !member.pending(now) }
 	switch {
+	case t.awaitsProof():
+		return causeCrashUnproven
 	case !t.pending(now):
 		return causeRestartDelay
 	case !t.job.unplaced:
--- a/pkg/scheduler/waiting_cause.go
+++ b/pkg/scheduler/waiting_cause.go
@@ -40,6 +40,9 @@
 	causeNotExamined
 	// causeRestartDelay: the task waits until its next start is permitted.
 	causeRestartDelay
+	// causeCrashUnproven: too many runners were lost under the task, and none of them is back
+	// or was replaced.
+	causeCrashUnproven
 	// causeNotQueued: the job is not among those that placement considers.
 	causeNotQueued
 	// causeGangIncomplete: a member of the gang still has a runner.
@@ -92,6 +95,7 @@
 	causeNoLongerListed:     "no-longer-listed",
 	causeNotExamined:        "not-examined",
 	causeRestartDelay:       "restart-delay",
+	causeCrashUnproven:      "crash-unproven",
 	causeNotQueued:          "not-queued",
 	causeGangIncomplete:     "gang-incomplete",
 	causeNoRunner:           "no-runner",
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -164,6 +164,15 @@
 guard silence-explains-no-crash pkg/scheduler/crash.go 's/ \&\& goneAt.Sub\(t.startSentAt\) <= maxCrashDelay//' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard explained-crash-blames-no-other pkg/scheduler/crash.go 's/ \&\& n.explaining > 0 \{/ \&\& false {/' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard end-of-lease-counts-as-crash pkg/scheduler/leases.go 's/^\tc.recordLapse\(now, s, lost\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
+guard lapse-is-no-proof-of-crash pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/t.record.crashes++; t.record.suspicion += added.suspicion/' pkg/scheduler TestTaskIsNotGivenUpForRunnersThatWereCutOff
+guard lapse-is-no-proof-under-faults pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/t.record.crashes++; t.record.suspicion += added.suspicion/' $simulation TestSoundTasksSurviveCutsOfTheirRunners
+guard proven-lapse-counts pkg/scheduler/lost_runner.go 's/^\tc.proveLapses\(now, s\)//' pkg/scheduler TestTaskIsGivenUpOnceLapsesAreProven
+guard lapses-bound-starts pkg/scheduler/placing.go 's/ \&\& !t.awaitsProof\(\)//' pkg/scheduler TestTaskWaitsWhileItsLossesAreUnexplained
+guard lapses-bound-starts-under-faults pkg/scheduler/placing.go 's/ \&\& !t.awaitsProof\(\)//' $simulation TestTasksThatCrashRunnersForVeryLongAreGivenUp
+guard unexplained-losses-expire pkg/scheduler/cell.go 's/^\t\tc.expireLapses\(now\)//' pkg/scheduler TestTaskWaitsWhileItsLossesAreUnexplained
+guard lapses-are-stored pkg/scheduler/task.go 's/^\tp.recordLapses\(tasks\)//' pkg/scheduler TestLapseSurvivesItsOwner
+guard earlier-listing-refutes-no-lapse pkg/scheduler/lapse.go 's/ \&\& s.listedAt.After\(r.at\)//' pkg/scheduler TestLapseSurvivesItsOwner
+guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
 guard suspects-avoid-restarted-runners pkg/scheduler/trial.go 's/e.restarted = 1/e.restarted = 0/' pkg/scheduler TestLongRunningSuspectAvoidsRestartedRunner
