Take no lapse from a runner that announced its end

callers saw: nothing yet; found while looking for what else is counted with a lease. A task whose runner drained and was gone before the task had ended was suspected of crashing it. cause: recordCrash leaves out runners that drain or have left, the end of their lease did not. change: it does. before: TestLeaseOfLeavingRunnerIsNoLapse fails, the task has one crash and a suspicion of 2. after: it passes.

--- a/pkg/scheduler/lapse.go
+++ b/pkg/scheduler/lapse.go
@@ -111,8 +111,12 @@
 	return len(t.lapses) > 0 && t.presumedRecord().crashes >= maxCrashes
 }
 
-// recordLapse records the runs that are lost because the lease of their runner expired.
+// recordLapse records the runs that are lost because the lease of their runner expired. A
+// runner that announced its end did not crash.
 func (c *Cell) recordLapse(now time.Time, s *runnerState, lost []*task) {
+	if s.info.Draining || s.info.Left {
+		return
+	}
 	n := s.suspects()
 	recorded := 0
 	for _, t := range lost {
--- a/pkg/scheduler/lapse_test.go
+++ b/pkg/scheduler/lapse_test.go
@@ -231,3 +231,15 @@
 	assert.Assert(t, encodedSize(t, p) <= maxRowBytes)
 	assert.Assert(t, p.size() <= maxRowBytes)
 }
+
+// A runner that announced its end must not count as crashed when it ends before its tasks.
+func TestLeaseOfLeavingRunnerIsNoLapse(t *testing.T) {
+	h := newCrashHarness(t, 3)
+	h.add("j", "checks", newStep(1, 500))
+	agent := h.start("j.0.0.0")
+	h.runners[agent].Runner.Draining = true
+	h.report(agent)
+	h.cutOff(agent)
+	assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord(), crashRecord{})
+	assert.Assert(t, h.agentOf("j.0.0.0") != "", "it is started again")
+}
