Forget where a runner was lost once it is back

callers saw: nothing yet; found while looking for what a refuted lapse leaves behind. A runner that was only cut off stayed among those that had crashed under the task. Its first crash then counted as a repeated one, which adds the least suspicion, and placement took it last. cause: the list of addresses was filled with the lapse and not withdrawn with it. change: a withdrawn lapse removes its address. before: TestRunnerThatIsBackHasNotCrashedBefore fails. after: it passes.

--- a/pkg/scheduler/crash.go
+++ b/pkg/scheduler/crash.go
@@ -121,6 +121,13 @@
 	return added
 }
 
+// forgetCrashAt removes one crash at an address, which turned out to be none.
+func (t *taskState) forgetCrashAt(address string) {
+	if i := slices.Index(t.crashedAt, address); i >= 0 {
+		t.crashedAt = slices.Delete(t.crashedAt, i, i+1)
+	}
+}
+
 // delaySuspect delays the next start of a suspect that was lost together with others.
 func (c *Cell) delaySuspect(now time.Time, t *task) {
 	if t.suspect() && len(t.runner.tasks) > 1 {
--- a/pkg/scheduler/lapse.go
+++ b/pkg/scheduler/lapse.go
@@ -162,6 +162,7 @@
 func (c *Cell) withdrawLapses(r *lapsedRunner, why string) {
 	runs := c.lapses.take(r)
 	for _, run := range runs {
+		run.task.forgetCrashAt(r.address)
 		c.addUnplaced(run.task.job)
 		c.markChanged(run.task.job)
 	}
--- a/pkg/scheduler/lapse_test.go
+++ b/pkg/scheduler/lapse_test.go
@@ -243,3 +243,14 @@
 	assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord(), crashRecord{})
 	assert.Assert(t, h.agentOf("j.0.0.0") != "", "it is started again")
 }
+
+// A runner that was only cut off must not be remembered as one that crashed under the task: its
+// first crash would count as a repeated one, which says little, and the task start too often.
+func TestRunnerThatIsBackHasNotCrashedBefore(t *testing.T) {
+	h := newCrashHarness(t, 2)
+	h.add("j", "checks", newStep(1, 500))
+	agent := h.start("j.0.0.0")
+	r := h.cutOff(agent)
+	h.back(agent, r)
+	assert.Equal(t, len(h.cell.taskByName("j.0.0.0").crashedAt), 0)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -173,6 +173,7 @@
 guard lapses-are-stored pkg/scheduler/task.go 's/^\tp.recordLapses\(tasks\)//' pkg/scheduler TestLapseSurvivesItsOwner
 guard earlier-listing-refutes-no-lapse pkg/scheduler/lapse.go 's/ \&\& s.listedAt.After\(r.at\)//' pkg/scheduler TestLapseSurvivesItsOwner
 guard leaving-runner-is-no-lapse pkg/scheduler/lapse.go 's/if s.info.Draining \|\| s.info.Left \{/if false {/' pkg/scheduler TestLeaseOfLeavingRunnerIsNoLapse
+guard withdrawn-lapse-leaves-no-address pkg/scheduler/lapse.go 's/^\t\trun.task.forgetCrashAt\(r.address\)//' pkg/scheduler TestRunnerThatIsBackHasNotCrashedBefore
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
