Fail no task of the placer for workers that were cut off

A task failed for good after five workers in a row whose leases had expired, although each of them was back a moment later. cause: a lease that expired counted as a crash of the worker, which nothing withdrew. change: such a start is a lapse in the task's row.

--- a/pkg/placer/cell.go
+++ b/pkg/placer/cell.go
@@ -14,8 +14,8 @@
 const (
 	// maxFailures is the number of failed starts after which a task fails.
 	maxFailures = 3
-	// maxCrashes is the number of workers in a row that may be lost under a task,
-	// with none of its starts running for trialDuration, until the task fails.
+	// maxCrashes is the number of workers in a row that may crash under a task, with none
+	// of its starts running for trialDuration, until the task fails.
 	maxCrashes = 5
 	// clockMargin allows for clocks that run at different rates.
 	clockMargin = 500 * time.Millisecond
@@ -35,6 +35,8 @@
 	assert  *asserter.Asserter
 	now     time.Time
 	workers map[string]*worker
+	// lapsed lists the tasks with lapses by the address of the worker.
+	lapsed map[string][]*trackedTask
 	// addresses are the workers' addresses, sorted.
 	addresses []string
 	// removed are the addresses of workers that the cell no longer has, with tasks
@@ -89,6 +91,7 @@
 		assert:    assert,
 		now:       now,
 		workers:   map[string]*worker{},
+		lapsed:    map[string][]*trackedTask{},
 		addresses: slices.Sorted(slices.Values(workers)),
 		tasks:     map[string]*trackedTask{},
 		changed:   map[string]*trackedTask{},
@@ -148,6 +151,7 @@
 		c.bind(e)
 	}
 	c.tasks[t.Spec.ID] = e
+	c.watchLapses(e)
 	c.registerReplica(e)
 }
 
@@ -234,6 +238,7 @@
 			c.loseLapsedTasks(w)
 		}
 	}
+	c.expireLapses()
 	c.reconcileReplicas()
 	c.place()
 }
--- a/pkg/placer/placing.go
+++ b/pkg/placer/placing.go
@@ -15,7 +15,7 @@
 		resumeAt: c.resumeAt,
 	}
 	for _, e := range c.queue {
-		if failed.skips(e) || failed.covers(e) || !c.withinQuota(e) {
+		if e.awaitsProof() || failed.skips(e) || failed.covers(e) || !c.withinQuota(e) {
 			waiting = append(waiting, e)
 			continue
 		}
--- a/pkg/placer/reconcile.go
+++ b/pkg/placer/reconcile.go
@@ -24,6 +24,7 @@
 	w.clockMillis = r.ClockMillis
 	w.clockAt = now
 	w.proveExpiry(r.ClockMillis)
+	c.explainLapses(address, r.Incarnation)
 	c.reconcile(w, r)
 	c.processSlowdowns(w, r)
 }
@@ -67,7 +68,7 @@
 	for _, e := range w.placed() {
 		w.requireExpiry(c.now)
 		e.recordReleased()
-		c.loseWithWorker(e, "the worker's lease lapsed")
+		c.lapseTask(e)
 	}
 }
 
@@ -84,19 +85,26 @@
 	c.requeue(e)
 }
 
-// loseWithWorker is like loseTask, for a task whose worker was lost or replaced. The
-// task is given up if too many workers in a row were under it.
+// loseWithWorker is like loseTask, for a task whose worker was replaced. The task is given up
+// if too many workers in a row were under it.
 func (c *Cell) loseWithWorker(e *trackedTask, why string) {
 	e.Crashes++
 	e.lastFailedWorker = e.Worker
 	if e.Crashes >= maxCrashes && e.State != StateCancelling {
 		c.Counts.Lost++
-		c.finish(e, triggerFail, "its workers were lost again and again: "+why)
+		c.release(e)
+		c.giveUp(e, why)
 		return
 	}
 	c.loseTask(e, why)
 }
 
+// giveUp fails a task without a worker because too many of them crashed under it.
+func (c *Cell) giveUp(e *trackedTask, why string) {
+	e.Reason = "its workers were lost again and again: " + why
+	c.fire(e, triggerFail)
+}
+
 // requeue puts a task back in the queue for its next start.
 func (c *Cell) requeue(e *trackedTask) {
 	c.fire(e, triggerReturn)
@@ -160,6 +168,7 @@
 		e.runsSince = now
 	case now.Sub(e.runsSince) >= trialDuration:
 		e.Crashes = 0
+		e.Lapses = nil
 	}
 }
 
--- a/pkg/placer/task.go
+++ b/pkg/placer/task.go
@@ -97,8 +97,10 @@
 	// Released lists the last starts that were given up because of an expired lease. If
 	// one of them failed, that was not counted.
 	Released []int `json:"released,omitempty"`
-	// Crashes counts the workers in a row that were lost under the task.
-	Crashes int `json:"crashes,omitempty"`
+	// Crashes counts the workers in a row that were replaced under the task, and Lapses lists
+	// its starts under which a worker may have crashed.
+	Crashes int     `json:"crashes,omitempty"`
+	Lapses  []Lapse `json:"lapses,omitempty"`
 	// Evictions counts starts that were evicted.
 	Evictions int `json:"evictions,omitempty"`
 	// EndedAt is when the task reached its final state.
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -174,6 +174,8 @@
 guard earlier-listing-refutes-no-lapse pkg/scheduler/lapse.go 's/ \&\& s.listedAt.After\(r.at\)//' pkg/scheduler TestLapseSurvivesItsOwner
 guard leaving-runner-is-no-lapse pkg/scheduler/lapse.go 's/if s.info.Draining \|\| s.info.Left \{/if false {/' pkg/scheduler TestLeaseOfLeavingRunnerIsNoLapse
 guard withdrawn-lapse-leaves-no-address pkg/scheduler/lapse.go 's/^\t\trun.task.forgetCrashAt\(r.address\)//' pkg/scheduler TestRunnerThatIsBackHasNotCrashedBefore
+guard lapse-of-worker-is-no-proof pkg/placer/reconcile.go 's/^\t\tc.lapseTask\(e\)/\t\tc.loseWithWorker(e, "lapsed")/' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
+guard lapses-of-workers-bound-starts pkg/placer/placing.go 's/e.awaitsProof\(\) \|\| //' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
