--- a/pkg/scheduler/cell.go
+++ b/pkg/scheduler/cell.go
@@ -252,6 +252,7 @@
 	c.jobs[spec.ID] = j
 	c.arrived(seenAt, j)
 	c.addUnplaced(j)
+	j.addListed(p.Tasks)
 	tasks := j.tasks()
 	if !c.cfg.Assert.Holds(len(tasks) == len(p.Tasks), "progress-fits-job", "job", spec.ID) {
 		return
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -91,6 +91,29 @@
 	return max(1, s.RunCount)
 }
 
+// tasksPerOccurrence returns the number of tasks of one occurrence.
+func (s *Spec) tasksPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// dueAt returns when an occurrence is due; the zero time is at once.
+func (s *Spec) dueAt(occurrence int) time.Time {
+	if s.RunCount == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.StartAtMillis + int64(occurrence)*s.IntervalMillis)
+}
+
+// firstDueFrom returns when the first of the occurrences from a given one on is due. With a
+// negative interval, that is the last one.
+func (s *Spec) firstDueFrom(occurrence int) time.Time {
+	return minTime(s.dueAt(occurrence), s.dueAt(s.occurrences()-1))
+}
+
 // State is the state of a job as callers see it.
 type State string
 
@@ -136,7 +159,8 @@
 }
 
 // Progress is the part of a job's state that must survive a change of the
-// cell's owner. Tasks are listed by occurrence, step and index.
+// cell's owner. Tasks are listed by occurrence, step and index, up to the last occurrence that
+// was due.
 type Progress struct {
 	State State `cbor:"state"`
 	// Begun reports whether any run of the job has reached a runner.
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -129,6 +129,7 @@
 	c.waiting = c.waiting[:0]
 	unplaced := c.unplaced[:0]
 	for _, j := range c.unplaced {
+		j.addDue(now)
 		if j.state.Final() || j.unfinished == j.placed {
 			j.unplaced = false
 			continue
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -15,12 +15,13 @@
 	spec Spec
 	// seenAt is when this process first read the job, by its own clock. Times of
 	// day of other processes may differ by seconds.
-	seenAt      time.Time
-	state       State
-	begun       bool
-	cancelled   bool
+	seenAt    time.Time
+	state     State
+	begun     bool
+	cancelled bool
+	// occurrences are the first ones of the job: all that are due, and at least one.
 	occurrences []*occurrence
-	// unfinished counts the tasks that are not done.
+	// unfinished counts the tasks of all occurrences that are not done.
 	unfinished int
 	// placed counts the tasks that are placed on a runner and not done. extraRuns counts
 	// the other runs that are placed: copies, and runs that are left of tasks that are
@@ -210,39 +211,53 @@
 
 func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
-		spec:      spec,
-		maxPlaced: max(1, spec.maxPlaced()),
-		seenAt:    seenAt,
-		state:     StateQueued,
-		chain:     longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
+		spec:       spec,
+		maxPlaced:  max(1, spec.maxPlaced()),
+		seenAt:     seenAt,
+		state:      StateQueued,
+		unfinished: spec.tasksPerOccurrence() * spec.occurrences(),
+		chain:      longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
-	for k := range spec.occurrences() {
-		due := time.UnixMilli(spec.StartAtMillis + int64(k)*spec.IntervalMillis)
-		if spec.RunCount == 0 {
-			due = time.Time{}
-		}
-		r := &occurrence{
-			index: k,
-			dueAt: due,
-			full:  make([]fullRunners, len(spec.Steps)),
-		}
-		for number, step := range spec.Steps {
-			tasks := make([]*task, step.Count)
-			for i := range tasks {
-				tasks[i] = newTask(taskState{
-					job:        j,
-					occurrence: r,
-					step:       number,
-					index:      i,
-				})
-			}
-			j.unfinished += step.Count
-			r.steps = append(r.steps, tasks)
-			r.unfinished = append(r.unfinished, step.Count)
+	j.addOccurrence()
+	return j
+}
+
+// addDue adds the occurrences that are due. All others take no memory.
+func (j *job) addDue(now time.Time) {
+	for len(j.occurrences) < j.spec.occurrences() && !now.Before(j.spec.firstDueFrom(len(j.occurrences))) {
+		j.addOccurrence()
+	}
+}
+
+// addOccurrence adds the next occurrence of the job's steps.
+func (j *job) addOccurrence() {
+	r := &occurrence{
+		index: len(j.occurrences),
+		dueAt: j.spec.dueAt(len(j.occurrences)),
+		full:  make([]fullRunners, len(j.spec.Steps)),
+	}
+	for number := range j.spec.Steps {
+		count := j.spec.Steps[number].Count
+		tasks := make([]*task, count)
+		for i := range tasks {
+			tasks[i] = newTask(taskState{
+				job:        j,
+				occurrence: r,
+				step:       number,
+				index:      i,
+			})
 		}
-		j.occurrences = append(j.occurrences, r)
+		r.steps = append(r.steps, tasks)
+		r.unfinished = append(r.unfinished, count)
+	}
+	j.occurrences = append(j.occurrences, r)
+}
+
+// addListed adds the occurrences of the tasks that a row lists.
+func (j *job) addListed(rows []TaskProgress) {
+	for len(j.occurrences) < j.spec.occurrences() && len(j.occurrences)*j.spec.tasksPerOccurrence() < len(rows) {
+		j.addOccurrence()
 	}
-	return j
 }
 
 // longestChain returns the sum of the estimates along the longest path of
@@ -289,7 +304,7 @@
 	return true
 }
 
-// tasks returns all tasks in the order of Progress.Tasks.
+// tasks returns the tasks of the job's occurrences so far, in the order of Progress.Tasks.
 func (j *job) tasks() []*task {
 	var list []*task
 	for _, r := range j.occurrences {
--- a/pkg/scheduler/waiting.go
+++ b/pkg/scheduler/waiting.go
@@ -151,6 +151,7 @@
 	if j.state.Final() {
 		return 1
 	}
+	j.addDue(now)
 	tasks := len(j.occurrences)
 	for _, r := range j.occurrences {
 		for number := range r.steps {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -176,6 +176,10 @@
 guard withdrawn-lapse-leaves-no-address pkg/scheduler/lapse.go 's/^\t\trun.task.forgetCrashAt\(r.address\)//' pkg/scheduler TestRunnerThatIsBackHasNotCrashedBefore
 guard lapse-of-worker-is-no-proof pkg/placer/reconcile.go 's/^\t\tc.lapseTask\(e\)/\t\tc.loseWithWorker(e, "lapsed")/' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
 guard lapses-of-workers-bound-starts pkg/placer/placing.go 's/e.awaitsProof\(\) \|\| //' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
+guard occurrences-exist-when-due pkg/scheduler/task.go 's/ \&\& !now.Before\(j.spec.firstDueFrom.*\) \{/ {/' pkg/scheduler TestOccurrencesTakeNoMemoryBeforeTheyAreDue
+guard due-occurrences-are-added pkg/scheduler/placing.go 's/^\t\tj.addDue\(now\)//' pkg/scheduler TestOccurrencesRunWhenTheyAreDue
+guard row-lists-later-occurrences pkg/scheduler/cell.go 's/^\tj.addListed\(p.Tasks\)//' pkg/scheduler TestOccurrencesRunWhenTheyAreDue
+guard earliest-of-the-rest-is-due pkg/scheduler/job.go 's/return minTime\(s.dueAt\(occurrence\), .*/return s.dueAt(occurrence)/' pkg/scheduler TestOccurrencesInReverseOrder
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
