--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -324,26 +324,57 @@
 // Check returns a *publisher.FieldError for the first field with an invalid
 // value.
 func (s *Spec) Check() error {
-	tasks := 0
-	for i, step := range s.Steps {
-		field := "steps[" + strconv.Itoa(i) + "]"
-		if err := publisher.CheckRange(field+".count", int64(step.Count), 1, maxTasks); err != nil {
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += step.Count
-		if err := step.checkNeeds(field); err != nil {
+	}
+	if err := publisher.CheckRange("run-count", int64(s.RunCount), 0, maxTasks); err != nil {
+		return err
+	}
+	return publisher.CheckRange("tasks", int64(s.tasksPerOccurrence())*int64(s.occurrences()), 1, maxTasks)
+}
+
+// check returns a *publisher.FieldError for the first field of the step at an index with an
+// invalid value.
+func (s *Step) check(index int) error {
+	field := "steps[" + strconv.Itoa(index) + "]"
+	if err := publisher.CheckRange(field+".count", int64(s.Count), 1, maxTasks); err != nil {
+		return err
+	}
+	if err := s.checkNeeds(field); err != nil {
+		return err
+	}
+	for _, dependency := range s.After {
+		if err := publisher.CheckRange(field+".after", int64(dependency), 0, int64(index-1)); err != nil {
 			return err
 		}
-		for _, dependency := range step.After {
-			if err := publisher.CheckRange(field+".after", int64(dependency), 0, int64(i-1)); err != nil {
-				return err
-			}
-		}
 	}
-	if err := publisher.CheckRange("run-count", int64(s.RunCount), 0, maxTasks); err != nil {
+	return nil
+}
+
+// Steps collects the steps of a job as they are decoded. It takes no more than a valid job has,
+// however many a caller sends.
+type Steps struct {
+	List  []Step
+	tasks int
+}
+
+// Add adds a step. It returns a *publisher.FieldError if the step is invalid, or if the job has
+// too many steps or tasks with it.
+func (s *Steps) Add(step Step) error {
+	if err := publisher.CheckRange("steps", int64(len(s.List)+1), 1, maxSteps); err != nil {
 		return err
 	}
-	return publisher.CheckRange("tasks", int64(tasks)*int64(s.occurrences()), 1, maxTasks)
+	if err := step.check(len(s.List)); err != nil {
+		return err
+	}
+	s.tasks += step.Count
+	if err := publisher.CheckRange("tasks", int64(s.tasks), 1, maxTasks); err != nil {
+		return err
+	}
+	s.List = append(s.List, step)
+	return nil
 }
 
 // checkNeeds returns a *publisher.FieldError for the first request that is out of range. A
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -16,6 +16,10 @@
 	checkpointBytes = 24
 	placedTaskBytes = 64
 	rowHeaderBytes  = 1024
+	// minStepBytes is less than a step takes in the job's own row, and maxSteps more than
+	// such a row can hold.
+	minStepBytes = 56
+	maxSteps     = maxRowBytes / minStepBytes
 )
 
 // maxPlaced returns how many of the job's tasks may be placed at the same time, so
--- a/pkg/scheduler/row_size_test.go
+++ b/pkg/scheduler/row_size_test.go
@@ -83,3 +83,16 @@
 		})
 	}
 }
+
+// A job must not be refused for its number of steps if the store takes its row.
+func TestMoreStepsThanAllowedDoNotFitIntoTheRow(t *testing.T) {
+	spec := Spec{}
+	for range maxSteps {
+		spec.Steps = append(spec.Steps, Step{
+			Count: 1,
+		})
+	}
+	data, err := cbor.Marshal(spec)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) > maxRowBytes, "%d bytes", len(data))
+}
