--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -182,6 +182,7 @@
 guard earliest-of-the-rest-is-due pkg/scheduler/job.go 's/return minTime\(s.dueAt\(occurrence\), .*/return s.dueAt(occurrence)/' pkg/scheduler TestOccurrencesInReverseOrder
 guard steps-are-checked-one-by-one pkg/scheduler/job.go '/^func \(s \*Steps\) Add/,/^\}/{s/return err/_ = err/}' platform TestDecodingTakesMemoryForValidStepsOnly
 guard steps-are-bounded-by-the-row pkg/scheduler/job.go 's/CheckRange\("steps", .*maxSteps\)/CheckRange("steps", 1, 1, 1)/' platform TestDecodingTakesMemoryForValidStepsOnly
+guard labels-are-bounded platform/registry.go 's/0, maxLabels\)/0, 1 << 30)/' platform TestHeartbeatWithManyLabelsIsRejected
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
