--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -109,8 +109,8 @@
 	leaseRead bool
 	agents    map[string]*agentLink
 	// peers maps the address of each other entry to its processors.
-	peers     map[string]float64
-	nextSweep time.Time
+	peers   map[string]float64
+	sweeper sweeper
 }
 
 // Metrics are the counters and latencies of an entry.
--- a/pkg/controller/job_cache.go
+++ b/pkg/controller/job_cache.go
@@ -50,6 +50,8 @@
 type jobCache struct {
 	log  hclog.Logger
 	jobs map[string]*jobView
+	// orphaned has the ids of the views without a job row.
+	orphaned map[string]struct{}
 	// lease is the newest lease row of the cell.
 	lease storer.PartitionedRow
 }
@@ -58,6 +60,8 @@
 	return &jobCache{
 		log:  log,
 		jobs: map[string]*jobView{},
+
+		orphaned: map[string]struct{}{},
 	}
 }
 
@@ -100,6 +104,7 @@
 
 func (c *jobCache) addJob(now time.Time, spec scheduler.Spec) {
 	v := c.view(spec.ID)
+	delete(c.orphaned, spec.ID)
 	if !v.hasSpec {
 		v.seenAt = now
 	}
@@ -125,6 +130,7 @@
 	if row.Deleted {
 		if !v.hasSpec {
 			delete(c.jobs, id)
+			delete(c.orphaned, id)
 		}
 		return
 	}
@@ -143,6 +149,9 @@
 	v := c.view(id)
 	v.progress = p
 	v.progressVersion = version
+	if !v.hasSpec {
+		c.orphaned[id] = struct{}{}
+	}
 }
 
 // pending returns the number of jobs of a queue of which no task has started.
--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -184,7 +184,7 @@
 		w := &pendingWrite{
 			commit: commit,
 		}
-		if !changed {
+		if len(commit.Rows) <= orphanRows {
 			w.orphans = e.cache.orphans(now, sweepLimit)
 		}
 		e.startWrite(now, w)
@@ -350,9 +350,7 @@
 	for _, r := range w.commit.Rows {
 		e.cache.setProgress(r.ID, r.Progress, version)
 	}
-	for _, id := range w.orphans {
-		delete(e.cache.jobs, id)
-	}
+	e.cache.removeOrphans(w.orphans)
 	if w.acquire {
 		e.log.Info("cell acquired", "epoch", o.lease.Epoch())
 		e.loadCell()
--- a/pkg/controller/owner_writes_test.go
+++ b/pkg/controller/owner_writes_test.go
@@ -193,3 +193,26 @@
 	var refused *NotAcceptedError
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
 }
+
+// orphan adds the progress row of a job that was removed long ago to the cache.
+func (h *ownerHarness) orphan(id string) {
+	h.entry.cache.setProgress(id, scheduler.Progress{
+		State:         scheduler.StateCompleted,
+		EndedAtMillis: 1,
+	}, 3)
+}
+
+// An owner that always has changed jobs to write must remove orphaned rows too, or they
+// accumulate.
+func TestOrphanedRowsAreRemovedBesideChangedJobs(t *testing.T) {
+	h := newOwnerHarness(t)
+	for i := range 2 * sweepLimit {
+		h.orphan(fmt.Sprintf("old-%d", i))
+	}
+	h.addCancelledJobs(10)
+	h.entry.manageCell(h.now)
+	w := h.entry.owner.write
+	assert.Equal(t, len(w.commit.Rows), 10)
+	assert.Equal(t, len(w.orphans), sweepLimit)
+	assert.Assert(t, entries(w.change) <= storer.MaxChangeEntries)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -183,6 +183,10 @@
 guard steps-are-checked-one-by-one pkg/scheduler/job.go '/^func \(s \*Steps\) Add/,/^\}/{s/return err/_ = err/}' platform TestDecodingTakesMemoryForValidStepsOnly
 guard steps-are-bounded-by-the-row pkg/scheduler/job.go 's/CheckRange\("steps", .*maxSteps\)/CheckRange("steps", 1, 1, 1)/' platform TestDecodingTakesMemoryForValidStepsOnly
 guard labels-are-bounded platform/registry.go 's/0, maxLabels\)/0, 1 << 30)/' platform TestHeartbeatWithManyLabelsIsRejected
+guard sweeps-keep-up pkg/controller/sweeper.go 's/sweepWrites = 16/sweepWrites = 1/; s/backlogInterval = .*/backlogInterval = sweepInterval/' pkg/controller TestFinishedJobsAreRemovedAsFastAsTheyCome
+guard failed-sweep-is-not-repeated-soon pkg/controller/sweeper.go 's/ \&\& !s.failed \{/ {/' pkg/controller TestBacklogOfFinishedJobs
+guard orphans-go-beside-changes pkg/controller/owner.go 's/len\(commit.Rows\) <= orphanRows/!changed/' pkg/controller TestOrphanedRowsAreRemovedBesideChangedJobs
+guard reused-id-is-no-orphan pkg/controller/sweeper.go '/^func \(c \*jobCache\) removeOrphans/,/^\}/{/case v.hasSpec:/,/progressVersion = 0/d}' pkg/controller TestOrphanOfReusedID
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
