--- a/pkg/controller/owner.go
+++ b/pkg/controller/owner.go
@@ -184,7 +184,7 @@
 		w := &pendingWrite{
 			commit: commit,
 		}
-		if len(commit.Rows) <= orphanRows {
+		if o.cell != nil && len(commit.Rows) <= orphanRows {
 			w.orphans = e.cache.orphans(now, sweepLimit)
 		}
 		e.startWrite(now, w)
--- a/pkg/controller/owner_writes_test.go
+++ b/pkg/controller/owner_writes_test.go
@@ -216,3 +216,14 @@
 	assert.Equal(t, len(w.orphans), sweepLimit)
 	assert.Assert(t, entries(w.change) <= storer.MaxChangeEntries)
 }
+
+// A new owner that has not read all jobs must not take their progress for orphaned: without it,
+// a job that has ended would run again.
+func TestProgressIsNoOrphanBeforeAllJobsAreRead(t *testing.T) {
+	h := newOwnerHarness(t)
+	h.orphan("a")
+	h.entry.owner.cell = nil
+	h.now = h.now.Add(renewInterval)
+	h.entry.commit(h.now)
+	assert.Equal(t, len(h.entry.owner.write.orphans), 0)
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -186,6 +186,7 @@
 guard sweeps-keep-up pkg/controller/sweeper.go 's/sweepWrites = 16/sweepWrites = 1/; s/backlogInterval = .*/backlogInterval = sweepInterval/' pkg/controller TestFinishedJobsAreRemovedAsFastAsTheyCome
 guard failed-sweep-is-not-repeated-soon pkg/controller/sweeper.go 's/ \&\& !s.failed \{/ {/' pkg/controller TestBacklogOfFinishedJobs
 guard orphans-go-beside-changes pkg/controller/owner.go 's/len\(commit.Rows\) <= orphanRows/!changed/' pkg/controller TestOrphanedRowsAreRemovedBesideChangedJobs
+guard orphans-need-all-jobs pkg/controller/owner.go 's/if o.cell != nil \&\& len\(commit.Rows\) <= orphanRows/if len(commit.Rows) <= orphanRows/' pkg/controller TestProgressIsNoOrphanBeforeAllJobsAreRead
 guard reused-id-is-no-orphan pkg/controller/sweeper.go '/^func \(c \*jobCache\) removeOrphans/,/^\}/{/case v.hasSpec:/,/progressVersion = 0/d}' pkg/controller TestOrphanOfReusedID
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
