Split files that hold more than one concern

pkg/scheduler: cell.go (jobs as loaded, changes of a job), runner_state.go (listings, room), task.go (occurrences), reservations.go (needs, runners that may be reserved); pkg/controller/entry.go (metrics); pkg/reserver/reserver.go (reservations and needs). Moves only; the guards name the new files, and requests-have-ranges the receiver of the check that was split before.

--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -12,7 +12,6 @@
 	"github.com/bilberrywalk/bilberrywalk/pkg/clocker"
 	"github.com/bilberrywalk/bilberrywalk/pkg/configurer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/drainer"
-	"github.com/bilberrywalk/bilberrywalk/pkg/estimator"
 	"github.com/bilberrywalk/bilberrywalk/pkg/framer"
 	"github.com/bilberrywalk/bilberrywalk/pkg/leaser"
 	"github.com/bilberrywalk/bilberrywalk/pkg/looper"
@@ -113,35 +112,6 @@
 	sweeper sweeper
 }
 
-// Metrics are the counters and latencies of an entry.
-type Metrics struct {
-	Owner  bool             `json:"owner"`
-	Epoch  uint64           `json:"epoch"`
-	Jobs   int              `json:"jobs"`
-	Agents int              `json:"agents"`
-	Cell   scheduler.Counts `json:"cell"`
-	Waits  scheduler.Waits  `json:"waits"`
-	// Domains are the failure domains: all of them if the entry owns the cell, or else
-	// those with an order.
-	Domains []DomainStatus `json:"domains"`
-	// OrdersAgeMillis is how old the reading of the orders to drain domains is; -1 if
-	// there was none.
-	OrdersAgeMillis int64 `json:"orders-age-millis"`
-	// Starts counts the starts of each queue by size class; the owner's.
-	Starts map[string]scheduler.QueueStarts `json:"starts,omitempty"`
-	// Refused counts submissions and cancellations that had no effect, Unknown
-	// those with an unknown outcome.
-	Refused int64 `json:"refused"`
-	// RefusedFor counts the submissions that were refused by the owner's estimates, by
-	// reason. Estimates holds the estimates that the entry has read.
-	RefusedFor map[string]int64  `json:"refused-for,omitempty"`
-	Estimates  []estimator.Queue `json:"estimates,omitempty"`
-	Unknown    int64             `json:"unknown"`
-	Submits    measurer.Summary  `json:"submits"`
-	Cancels    measurer.Summary  `json:"cancels"`
-	Commits    measurer.Summary  `json:"commits"`
-}
-
 // New returns an entry; Run starts it.
 func New(cfg configurer.Fleet, d Dependencies) *Entry {
 	e := &Entry{
@@ -352,40 +322,6 @@
 	return idleTickInterval
 }
 
-func (e *Entry) updateMetrics() {
-	m := &Metrics{
-		Owner:  e.owner.cell != nil,
-		Epoch:  e.owner.lease.Epoch(),
-		Jobs:   len(e.cache.jobs),
-		Agents: len(e.agents),
-	}
-	if e.owner.cell != nil {
-		m.Cell = e.owner.cell.Counts
-		m.Waits = e.owner.cell.Waits()
-		m.Starts = e.owner.cell.QueueStarts()
-	}
-	m.Domains, m.OrdersAgeMillis = e.domainStatuses(), -1
-	if !e.ordersReadAt.IsZero() {
-		m.OrdersAgeMillis = e.clock.Now().Sub(e.ordersReadAt).Milliseconds()
-	}
-	e.metrics.Store(m)
-}
-
-// Metrics returns the current metrics.
-func (e *Entry) Metrics() Metrics {
-	m := *e.metrics.Load()
-	m.Refused = e.refused.Load()
-	m.RefusedFor = e.admission.counts()
-	if v := e.admission.view.Load(); v != nil {
-		m.Estimates = v.Report.Queues
-	}
-	m.Unknown = e.unknown.Load()
-	m.Submits = e.submits.Summary()
-	m.Cancels = e.cancels.Summary()
-	m.Commits = e.commits.Summary()
-	return m
-}
-
 // Ready reports whether the entry accepts new callers: it is not leaving, has
 // a configuration, and the store replied within maxStoreSilence.
 func (e *Entry) Ready() bool {
--- a/pkg/scheduler/runner_state.go
+++ b/pkg/scheduler/runner_state.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -136,23 +135,6 @@
 	startRefusals startRefusals
 }
 
-// pendingFinish is the sequence number of a finished run and the change that
-// records it.
-type pendingFinish struct {
-	sequence int64
-	change   uint64
-	// job is the job of the run, or nil if the cell does not have it.
-	job *job
-	// unsettled is the other run of the task while it may still start.
-	unsettled unsettledRun
-}
-
-// committed reports whether the row that records the finished run is committed, and no
-// other run of its task can start.
-func (p *pendingFinish) committed(change uint64) bool {
-	return p.change <= change && (p.job == nil || !p.job.rejected) && !p.unsettled.mayStart()
-}
-
 func newRunnerState(key framer.RunnerKey, leaseEnd time.Time, index *runnerIndex, syncs *syncQueue) *runnerState {
 	return &runnerState{
 		key:             key,
@@ -215,147 +197,11 @@
 	return list
 }
 
-// bestEffortShares returns the share of the runner that each best-effort image
-// requests.
-func (s *runnerState) bestEffortShares() imageShares {
-	shares := imageShares{}
-	for t := range s.tasks {
-		if step := t.spec(); step.BestEffort {
-			shares[step.Image] += s.share(step)
-		}
-	}
-	return shares
-}
-
-// share returns the share of the runner's processors that a task of a step
-// requests.
-func (s *runnerState) share(step *Step) float64 {
-	return float64(step.Needs.ProcessorMillis) / float64(max(1, s.info.ProcessorMillis))
-}
-
-func decrement(counts map[string]int, image string) {
-	counts[image]--
-	if counts[image] == 0 {
-		delete(counts, image)
-	}
-}
-
-// recordListing records when the runner made the listing in a report, and
-// reports whether the listing is new.
-func (s *runnerState) recordListing(now time.Time, r framer.Report) bool {
-	if !r.Listed {
-		return false
-	}
-	at := now.Add(-time.Duration(r.ListingAgeMillis) * time.Millisecond)
-	isNew := at.Sub(s.listedAt) > listingJitter
-	if isNew {
-		s.unansweredAt = time.Time{}
-		s.listings++
-	}
-	s.listedAt = maxTime(s.listedAt, at)
-	s.listedSinceLink = s.listedSinceLink || !s.linkedAt.IsZero() && at.Sub(s.linkedAt) > maxCallTime
-	return isNew
-}
-
-// recordStartSent records that the start of a run was requested. Expired
-// entries are removed.
-func (s *runnerState) recordStartSent(now time.Time, ref framer.RunRef) {
-	if _, ok := s.startsSent[ref]; ok {
-		return
-	}
-	maps.DeleteFunc(s.startsSent, func(_ framer.RunRef, at time.Time) bool { return now.Sub(at) > maxCallDelay })
-	s.startsSent[ref] = now
-}
-
-// startMayArrive reports whether a start request for a run may still be
-// executed.
-func (s *runnerState) startMayArrive(now time.Time, ref framer.RunRef) bool {
-	at, ok := s.startsSent[ref]
-	return ok && now.Sub(at) <= maxCallDelay
-}
-
-// capacity returns the runner's resources less those that unexpected runs
-// occupy.
-func (s *runnerState) capacity() publisher.Resources {
-	capacity := publisher.Resources{
-		ProcessorMillis: s.info.ProcessorMillis,
-		MemoryBytes:     s.info.MemoryBytes,
-		Accelerators:    s.info.Accelerators,
-	}
-	for _, needs := range s.unexpectedRuns {
-		capacity = publisher.Subtract(capacity, needs)
-	}
-	return capacity
-}
-
-// free returns the resources that can still be allocated.
-func (s *runnerState) free() publisher.Resources {
-	return publisher.Subtract(s.capacity(), s.allocated)
-}
-
-// idleMillis returns the processors that are neither requested by best-effort
-// tasks nor expected to be used by others, in thousandths of one.
-// Latency-critical tasks are expected to use latencyCriticalLoadPercent of their
-// request, all others the whole of it.
-func (s *runnerState) idleMillis() int64 {
-	unused := s.latencyCriticalMillis * (100 - latencyCriticalLoadPercent) / 100
-	return s.free().ProcessorMillis + unused - s.bestEffortMillis
-}
-
-// recordFinished records that a finished run was processed, and the change that
-// must be committed before it is acknowledged.
-func (s *runnerState) recordFinished(sequence int64, change uint64, j *job, unsettled unsettledRun) {
-	if sequence > s.recordedSequence {
-		s.recordedSequence = sequence
-		s.unacked = append(s.unacked, pendingFinish{
-			sequence: sequence,
-			change:   change,
-			job:      j,
-
-			unsettled: unsettled,
-		})
-	}
-}
-
-// ackCommitted advances the acknowledged sequence to the last finished run that
-// is covered by committed changes. None is acknowledged while a proof is due that the
-// runner's lease has expired.
-func (s *runnerState) ackCommitted(committed uint64) {
-	if s.expiry.due {
-		return
-	}
-	n := 0
-	for n < len(s.unacked) && s.unacked[n].committed(committed) {
-		s.ackedSequence = s.unacked[n].sequence
-		n++
-	}
-	if n > 0 {
-		s.unacked = s.unacked[n:]
-		s.needsSync()
-	}
-}
-
 // needsSync records that the runner's agent must be sent a sync.
 func (s *runnerState) needsSync() {
 	s.syncs.add(s)
 }
 
-// addUnexpected records a run that the runner lists but should not have, and
-// the resources that it occupies.
-func (s *runnerState) addUnexpected(ref framer.RunRef, needs publisher.Resources) {
-	s.unexpectedRuns[ref] = needs
-	s.index.worsened(s)
-	s.needsSync()
-}
-
-// removeUnexpected drops an unexpected run that is gone.
-func (s *runnerState) removeUnexpected(ref framer.RunRef) {
-	if _, ok := s.unexpectedRuns[ref]; ok {
-		delete(s.unexpectedRuns, ref)
-		s.index.improved(s)
-	}
-}
-
 // setInfo replaces the runner's description.
 func (s *runnerState) setInfo(info framer.RunnerInfo) {
 	if !sameInfo(s.info, info) {
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -86,7 +86,7 @@
 guard only-failed-dials-are-unsent pkg/server/server.go 's/ \&\& op.Op == "dial"//' pkg/server TestOnlyFailedDialsAreNeverSent
 guard malformed-row-hides-no-run platform/runner.go 's/^\t\t\tcontinue$/\t\t\tbreak/' platform TestMalformedRowOfListingIsSkipped
 guard steps-start-once-committed pkg/scheduler/sync.go 's/ \&\& t.committedRun == t.run//' pkg/scheduler TestStartRequiresCommittedRow
-guard acknowledge-once-committed pkg/scheduler/runner_state.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
+guard acknowledge-once-committed pkg/scheduler/runner_listing.go 's/ \&\& s.unacked\[n\].committed\(committed\)//' pkg/scheduler TestFinishedRunIsAckedOnceCommitted
 guard former-incarnation-is-stopped pkg/scheduler/lost_runner.go 's/\(!t.listed \|\| mayArrive\)/(false \&\& mayArrive)/' $simulation $steps
 guard lost-runner-waits-for-its-lease pkg/scheduler/leases.go 's/maxTime\(s.leaseEnd, s.delayedLeaseEnd\)/now.Add(-time.Second)/' pkg/scheduler TestLostRunner
 guard measurements-train-while-tasks-progress pkg/scheduler/report.go 's/len\(s.latencyCritical\) == 0 \|\|/true ||/' pkg/scheduler TestMeasurementsUpdateModelsWhileTasksProgress
@@ -140,7 +140,7 @@
 guard next-version-succeeds pkg/controller/entry.go 's/queues.Succeed\(e.queues\)//' pkg/controller TestDroppedQueueKeepsItsLastService
 guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
-guard end-of-rejected-row-is-kept pkg/scheduler/runner_state.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
+guard end-of-rejected-row-is-kept pkg/scheduler/runner_listing.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
 guard rows-fit-into-the-store pkg/scheduler/placing.go 's/w.job.rowRoom\(\) < 1/false/' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
 guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
 guard unstorable-job-is-refused pkg/controller/jobs.go 's/spec.CheckSize\(\); err != nil/spec.CheckSize(); false/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
@@ -176,9 +176,9 @@
 guard withdrawn-lapse-leaves-no-address pkg/scheduler/lapse.go 's/^\t\trun.task.forgetCrashAt\(r.address\)//' pkg/scheduler TestRunnerThatIsBackHasNotCrashedBefore
 guard lapse-of-worker-is-no-proof pkg/placer/reconcile.go 's/^\t\tc.lapseTask\(e\)/\t\tc.loseWithWorker(e, "lapsed")/' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
 guard lapses-of-workers-bound-starts pkg/placer/placing.go 's/e.awaitsProof\(\) \|\| //' pkg/placer TestTaskIsNotGivenUpForWorkersThatWereCutOff
-guard occurrences-exist-when-due pkg/scheduler/task.go 's/ \&\& !now.Before\(j.spec.firstDueFrom.*\) \{/ {/' pkg/scheduler TestOccurrencesTakeNoMemoryBeforeTheyAreDue
+guard occurrences-exist-when-due pkg/scheduler/occurrence.go 's/ \&\& !now.Before\(j.spec.firstDueFrom.*\) \{/ {/' pkg/scheduler TestOccurrencesTakeNoMemoryBeforeTheyAreDue
 guard due-occurrences-are-added pkg/scheduler/placing.go 's/^\t\tj.addDue\(now\)//' pkg/scheduler TestOccurrencesRunWhenTheyAreDue
-guard row-lists-later-occurrences pkg/scheduler/cell.go 's/^\tj.addListed\(p.Tasks\)//' pkg/scheduler TestOccurrencesRunWhenTheyAreDue
+guard row-lists-later-occurrences pkg/scheduler/loading.go 's/^\tj.addListed\(p.Tasks\)//' pkg/scheduler TestOccurrencesRunWhenTheyAreDue
 guard earliest-of-the-rest-is-due pkg/scheduler/job.go 's/return minTime\(s.dueAt\(occurrence\), .*/return s.dueAt(occurrence)/' pkg/scheduler TestOccurrencesInReverseOrder
 guard steps-are-checked-one-by-one pkg/scheduler/job.go '/^func \(s \*Steps\) Add/,/^\}/{s/return err/_ = err/}' platform TestDecodingTakesMemoryForValidStepsOnly
 guard steps-are-bounded-by-the-row pkg/scheduler/job.go 's/CheckRange\("steps", .*maxSteps\)/CheckRange("steps", 1, 1, 1)/' platform TestDecodingTakesMemoryForValidStepsOnly
@@ -209,7 +209,7 @@
 guard runner-without-answer-replaces-none pkg/scheduler/report.go 's/^\tif answered \{/\tif true {/' pkg/scheduler TestRunnerThatHasListedNothingReplacesNone
 guard foreign-heartbeats-run-nothing-twice pkg/supervisor/claim.go 's/^\tclaimed.receivedAt = now$/\tclaimed.receivedAt = now\n\tc.replaceKnown(now, claimed)/' pkg/experimenter TestStepsUnderFaults
 guard dropped-queue-keeps-its-terms pkg/scheduler/job.go 's/return q.former\[name\]$/return nil/' pkg/scheduler 'TestJobOfDroppedQueueKeepsIts(MaxFailures|Rank)'
-guard unknown-queue-has-the-accepted-terms pkg/scheduler/cell.go 's/if j.spec.Terms != \(Terms\{\}\) \{/if false {/' pkg/scheduler TestJobOfDroppedQueueKeepsItsMaxFailures
+guard unknown-queue-has-the-accepted-terms pkg/scheduler/job_changes.go 's/if j.spec.Terms != \(Terms\{\}\) \{/if false {/' pkg/scheduler TestJobOfDroppedQueueKeepsItsMaxFailures
 guard accepted-terms-are-stored platform/ingress.go '/^\t\tTerms: /d' platform TestJobIsStoredWithTheTermsOfItsQueue
 guard accepted-start-is-listed-at-once pkg/supervisor/commands.go 's/^\t\tc.verifyDue = true$/\t\tc.scheduleReport(now)/' pkg/supervisor TestAcceptedStartIsListedAtOnce
 guard earlier-listing-is-ignored pkg/supervisor/listing.go 's/l.ClockMillis < c.listedClock/false/' pkg/supervisor TestEarlierListingChangesNothing
@@ -223,7 +223,7 @@
 guard reserve-gives-way pkg/scheduler/choosing.go 's/ \&\& !step.BestEffort \&\& !w.starved \{/ \&\& !step.BestEffort {/' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard starved-step-is-tried-again pkg/scheduler/placing.go 's/ \|\| w.starved \&\& !full.starved//' pkg/scheduler TestReserveGivesWayOnIdleRunners
 guard released-runs-need-proof-of-expiry pkg/scheduler/leases.go 's/^\t\t\ts.requireExpiry\(now\)//' pkg/scheduler TestFailureOfGivenUpRunIsCountedOrNotAcked$
-guard no-acknowledgement-without-proof pkg/scheduler/runner_state.go '/^func \(s \*runnerState\) ackCommitted/,/^\}/s/if s.expiry.due/if false/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
+guard no-acknowledgement-without-proof pkg/scheduler/runner_listing.go '/^func \(s \*runnerState\) ackCommitted/,/^\}/s/if s.expiry.due/if false/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard no-lease-without-proof pkg/scheduler/leases.go 's/ \&\& !s.expiry.due//' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard leases-of-the-agent-count pkg/scheduler/expiry.go 's/max\(s.grantedUntilMillis, r.LeaseUntilMillis\)/s.grantedUntilMillis/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
 guard due-proof-is-remembered pkg/scheduler/expiry.go 's/ttl = expiryTTL/ttl = maxCallDelay/' pkg/scheduler TestLostRunIsAcknowledgedOnlyOnceItsLeaseIsProvenToHaveExpired
@@ -252,10 +252,10 @@
 guard large-task-gets-a-reservation pkg/scheduler/placing.go 's/^\tc.planReservations\(now\)//' pkg/scheduler 'TestLargeTaskAmongStreamOfSmallOnesStartsAsPromised|TestGangAmongSingleTasksStartsAsPromised'
 guard reservation-binds-other-tasks pkg/scheduler/choosing.go 's/ \&\& !c.reservedFromTask\(now, s, w, t\)//' pkg/scheduler 'TestLargeTaskAmongStreamOfSmallOnesStartsAsPromised'
 guard urgent-tasks-pass-reservations pkg/reserver/reserver.go 's/task.Urgency < held.Urgency/false/' pkg/scheduler TestLargeTaskOfLessUrgentQueueDelaysNoUrgentOne
-guard short-tasks-are-backfilled pkg/reserver/reserver.go 's/return !endsBy.IsZero\(\).*/return false/' pkg/scheduler TestTasksThatEndBeforeTheReservationAreBackfilled
+guard short-tasks-are-backfilled pkg/reserver/reservation.go 's/return !endsBy.IsZero\(\).*/return false/' pkg/scheduler TestTasksThatEndBeforeTheReservationAreBackfilled
 guard reservations-expire pkg/reserver/reserver.go 's/if held != nil \&\& !now.Before\(held.ExpiresAt\(\)\) \{/if false {/; s/ \|\| !now.Before\(held.ExpiresAt\(\)\) \{/ {/' pkg/scheduler TestReservationExpiresIfTheRoomDoesNotBecomeFree
 guard estimates-are-corrected pkg/reserver/estimates.go 's/return c.percentile\(\)$/return 1/' pkg/reserver TestEstimatesAreCorrectedByTheErrorOfFinishedRuns
-guard plans-see-whole-racks pkg/scheduler/reservations.go 's/^\t\t\tslices.SortFunc\(sweep.runners, compareRacks\)/\t\t\t_ = compareRacks/' pkg/scheduler TestRackLocalGangAmongManyRunnersIsReservedOnOneRack
+guard plans-see-whole-racks pkg/scheduler/reservable_runners.go 's/^\t\t\tslices.SortFunc\(sweep.runners, compareRacks\)/\t\t\t_ = compareRacks/' pkg/scheduler TestRackLocalGangAmongManyRunnersIsReservedOnOneRack
 guard small-tasks-are-packed pkg/scheduler/packing.go 's/^\treturn packed$/\treturn false \&\& packed/' pkg/scheduler TestSmallTasksLeaveTheGapsOfLargeRunnersWhole
 guard other-steps-get-no-copy pkg/scheduler/copies.go 's/return s.Speculative \&\& !s.Gang \&\& !s.LongRunning \&\& !s.BestEffort/return true/' pkg/scheduler TestOtherStepsGetNoCopy
 guard late-runs-get-copies pkg/scheduler/cell.go 's/^\t\tc.startCopies\(now\)//' pkg/scheduler TestStragglerInWideStepGetsCopy
@@ -274,13 +274,13 @@
 guard next-owner-knows-copies pkg/scheduler/task.go 's/if t.listedCopy \{/if false {/' pkg/scheduler TestNextOwnerKnowsBothRuns
 guard remaining-run-takes-over pkg/scheduler/second_run.go 's/^\t\tc.replaceCurrent\(other\)/\t\tt.copy = nil/' pkg/scheduler TestInstanceOfOneRunIsLost
 guard loser-is-stopped pkg/scheduler/finished_run.go 's/^\tc.stop\(t.current\)//' pkg/scheduler TestLoserIsStoppedWhileItsJobGoesOn
-guard cancellation-stops-copies pkg/scheduler/cell.go 's/c.stopAll\(t\)/c.stop(t)/' pkg/scheduler TestCancellationStopsBothRuns
-guard ack-waits-for-the-other-start pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' pkg/scheduler TestEndIsAckedOnceTheCopyCannotStart
-guard no-start-after-an-acknowledged-end pkg/scheduler/runner_state.go 's/ \&\& !p.unsettled.mayStart\(\)//' $simulation TestSpeculativeStepsUnderFaults
+guard cancellation-stops-copies pkg/scheduler/job_changes.go 's/c.stopAll\(t\)/c.stop(t)/' pkg/scheduler TestCancellationStopsBothRuns
+guard ack-waits-for-the-other-start pkg/scheduler/runner_listing.go 's/ \&\& !p.unsettled.mayStart\(\)//' pkg/scheduler TestEndIsAckedOnceTheCopyCannotStart
+guard no-start-after-an-acknowledged-end pkg/scheduler/runner_listing.go 's/ \&\& !p.unsettled.mayStart\(\)//' $simulation TestSpeculativeStepsUnderFaults
 guard no-copy-after-the-last-failure pkg/scheduler/copies.go 's/t.failures\+1 < c.terms\(t.job\).MaxFailures/true/' $simulation TestSpeculativeStepsUnderFaults
 guard copies-count-in-the-row pkg/scheduler/copies.go 's/^\tif t.job.rowRoom\(\) < copyRowRoom \{/\tif false {/; s/ \&\& t.job.rowRoom\(\) >= copyRowRoom//' pkg/scheduler TestRowsWithCopies
 guard finite-starts-wait-for-the-higher-epoch pkg/scheduler/sync.go 's/c.cfg.Epoch >= s.fenceEpoch \|\| //; s/return t.spec\(\).LongRunning$/return true/' pkg/scheduler TestDelayedAckToFormerIncarnationDropsNoEnd
-guard released-runs-are-stored pkg/scheduler/cell.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
+guard released-runs-are-stored pkg/scheduler/loading.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
 guard uncounted-failure-needs-proof pkg/scheduler/expiry.go 's/ \&\& !t.failedUncounted\(e\)//' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
 guard released-runs-without-room-are-unknown pkg/scheduler/released_runs.go 's/t.released.upTo = t.lastRun$/_ = t/' pkg/scheduler TestReleasedRunsAreStored
 guard delayed-calls-state-their-leases pkg/scheduler/report.go '/^\ts.limitDelayedLease\(\)$/d' pkg/scheduler TestTaskOfRunnerThatIsLostBeforeItIsFenced
@@ -338,6 +338,6 @@
 guard moves-need-placement pkg/scheduler/cell.go 's/if !mayPlace \|\| !c.ordersKnown\(now\) \{/c.moveIfDue(now)\n\tif !mayPlace {/' pkg/scheduler TestNothingIsMovedWhileNothingCanBePlaced
 guard unreported-runs-are-left pkg/scheduler/draining.go 's/case len\(s.tasks\) > 0:/case false:/' pkg/scheduler TestDomainIsNotDrainedWhileRunnersWithRunsAreUnreported
 guard moved-task-goes-first pkg/scheduler/placing.go 's/slices.SortStableFunc\(tasks, func\(a, b \*task\) int \{ return compareBools\(a.roomOn == nil, b.roomOn == nil\) \}\)/_ = compareBools/' pkg/scheduler TestMovedTaskIsPlacedBeforeOthersOfItsStep
-guard requests-have-ranges pkg/scheduler/job.go 's/if err := step.checkNeeds\(field\); err != nil \{/if err := step.checkNeeds(field); err != nil \&\& false {/' platform TestJobsWithRequestsOutOfRangeAreRejected
+guard requests-have-ranges pkg/scheduler/job.go 's/if err := s.checkNeeds\(field\); err != nil \{/if err := s.checkNeeds(field); err != nil \&\& false {/' platform TestJobsWithRequestsOutOfRangeAreRejected
 [ $survived -eq 0 ] && echo "every guard is held by its test"
 exit $survived
