Name each runner once in a job's row that is too large

Changed tests: the one for a copy without room in the row sets the size of a saved value in place of the field that is gone, and asserts that there is room for a run.

--- a/pkg/scheduler/copies.go
+++ b/pkg/scheduler/copies.go
@@ -116,7 +116,7 @@
 // owner may not know yet. A suspect is tried alone. While rows can't be written, a copy
 // could not start either.
 func (c *Cell) mayHaveCopy(t *task) bool {
-	return t.failures+1 < c.terms(t.job).MaxFailures && !t.suspect() && t.committedRun == t.run && t.job.rowRoom() >= copyRowRoom
+	return t.failures+1 < c.terms(t.job).MaxFailures && !t.suspect() && t.committedRun == t.run && c.rowRoom(t.job) >= copyRowRoom
 }
 
 func (c *Cell) copyCandidate(now time.Time, t *task) speculator.Candidate[*task] {
@@ -142,7 +142,7 @@
 // startCopy starts a copy of a task's run, and reports whether a runner can hold it.
 func (c *Cell) startCopy(now time.Time, t *task) bool {
 	// Other copies of the same decision take room in the row as well.
-	if t.job.rowRoom() < copyRowRoom {
+	if c.rowRoom(t.job) < copyRowRoom {
 		return false
 	}
 	second := &task{
--- a/pkg/scheduler/copies_test.go
+++ b/pkg/scheduler/copies_test.go
@@ -468,7 +468,10 @@
 	t.Run("no room", func(t *testing.T) {
 		h := newCopyHarness(t, "a", "b")
 		h.add("j", "checks", speculativeStep(1, 1000))
-		h.cell.jobs["j"].maxPlaced = 2
+		// That leaves room for a few runs and not for a copy.
+		h.cell.jobs["j"].checkpointSize = maxRowBytes - rowHeaderBytes - idleTaskBytes - 2*placedTaskBytes - 10*runnerPositionBytes
+		room := h.cell.rowRoom(h.cell.jobs["j"])
+		assert.Assert(t, room > 1 && room <= copyRowRoom, "%d runs", room)
 		h.pass(4 * time.Second)
 		h.assertCounts(0, 0, 0)
 	})
--- a/pkg/scheduler/finished_run.go
+++ b/pkg/scheduler/finished_run.go
@@ -46,7 +46,7 @@
 	default:
 		c.Counts.Stopped++
 		if e.Checkpoint != "" {
-			t.checkpoint = e.Checkpoint
+			t.setCheckpoint(e.Checkpoint)
 		}
 		c.release(t)
 	}
--- a/pkg/scheduler/loading.go
+++ b/pkg/scheduler/loading.go
@@ -55,7 +55,7 @@
 		t.lastRun = row.Run
 		t.committedRun = row.Run
 		t.failures = row.Failures
-		t.checkpoint = row.Checkpoint
+		t.setCheckpoint(row.Checkpoint)
 		t.record = p.crashRecord(i)
 		if row.Done {
 			t.done = true
--- a/pkg/scheduler/placing.go
+++ b/pkg/scheduler/placing.go
@@ -57,7 +57,7 @@
 		if !t.pending(now) {
 			continue
 		}
-		if w.job.rowRoom() < 1 {
+		if c.rowRoom(w.job) < 1 {
 			return
 		}
 		s := c.chooseRunner(now, w, t, nil)
@@ -229,7 +229,7 @@
 		}
 		run = max(run, t.run)
 	}
-	if w.job.rowRoom() < len(members) {
+	if c.rowRoom(w.job) < len(members) {
 		return
 	}
 	if change := c.fullUpTo(w); change > 0 && change == c.index.change && !c.anyProbe(now, w) {
--- a/pkg/scheduler/report.go
+++ b/pkg/scheduler/report.go
@@ -187,7 +187,7 @@
 	t.listedAt = s.listedAt
 	c.clearRecord(now, t)
 	if status.Checkpoint != "" {
-		t.checkpoint = status.Checkpoint
+		t.setCheckpoint(status.Checkpoint)
 	}
 }
 
--- a/pkg/scheduler/reservation_needs.go
+++ b/pkg/scheduler/reservation_needs.go
@@ -45,9 +45,9 @@
 	tasks := w.occurrence.steps[w.step]
 	i := slices.IndexFunc(tasks, func(t *task) bool { return t.pending(now) })
 	t := tasks[i]
-	placeable := w.job.rowRoom() >= 1
+	placeable := c.rowRoom(w.job) >= 1
 	if step.Gang {
-		placeable = w.job.rowRoom() >= len(tasks) && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
+		placeable = c.rowRoom(w.job) >= len(tasks) && !slices.ContainsFunc(tasks, func(t *task) bool { return !t.pending(now) })
 	}
 	// A suspect waits for a runner of its own.
 	if !placeable || t.suspect() {
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -16,25 +16,33 @@
 	checkpointBytes = 24
 	placedTaskBytes = 64
 	rowHeaderBytes  = 1024
+	// runnerPositionBytes bounds what a placed task takes in a compact row, which has the
+	// name and the address of each runner once.
+	runnerPositionBytes = 4
+	// manyRunners is a number of runners at which a compact row has no advantage.
+	manyRunners = maxRowBytes
 	// minStepBytes is less than a step takes in the job's own row, and maxSteps more than
 	// such a row can hold.
 	minStepBytes = 56
 	maxSteps     = maxRowBytes / minStepBytes
 )
 
-// maxPlaced returns how many of the job's tasks may be placed at the same time, so
-// that its progress fits into a row.
-func (s *Spec) maxPlaced() int {
-	free := maxRowBytes - rowHeaderBytes
+// maxPlaced returns how many of the job's tasks may be placed at the same time, so that its
+// progress fits into a row. checkpointSize is the size of its longest checkpoint, copies the
+// number of entries in Progress.Copies, and runners the number of runners that there are.
+func (s *Spec) maxPlaced(checkpointSize, copies, runners int) int {
+	free := maxRowBytes - rowHeaderBytes - copies*(idleTaskBytes+placedTaskBytes)
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		size := idleTaskBytes
-		if step.Checkpoints {
-			size += checkpointBytes
+		if step.Checkpoints || checkpointSize > 0 {
+			size += max(checkpointBytes, checkpointSize)
 		}
 		free -= size * step.Count * s.occurrences()
 	}
-	return max(0, free/placedTaskBytes)
+	plain := free / placedTaskBytes
+	compact := (free - runners*placedTaskBytes) / runnerPositionBytes
+	return max(0, plain, compact)
 }
 
 // CheckSize returns a *publisher.FieldError if the job has so many tasks that its
@@ -46,12 +54,30 @@
 			largest = max(largest, s.Steps[i].Count)
 		}
 	}
-	return publisher.CheckRange("tasks placed at the same time", int64(largest), 1, int64(s.maxPlaced()))
+	return publisher.CheckRange("tasks placed at the same time", int64(largest), 1, int64(s.maxPlaced(0, 0, manyRunners)))
 }
 
 // size returns the size of the encoded progress, rounded up.
 func (p *Progress) size() int {
-	size := rowHeaderBytes
+	if plain := p.plainSize(); plain <= maxRowBytes {
+		return plain
+	}
+	size := p.sizeOfRest()
+	runners := map[rowRunner]struct{}{}
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		size += idleTaskBytes + len(t.Checkpoint)
+		if t.RunnerID != "" {
+			size += runnerPositionBytes
+			runners[t.runner()] = struct{}{}
+		}
+	}
+	return size + placedTaskBytes*len(runners)
+}
+
+// plainSize returns the size of the plain form, rounded up.
+func (p *Progress) plainSize() int {
+	size := p.sizeOfRest()
 	for i := range p.Tasks {
 		t := &p.Tasks[i]
 		size += idleTaskBytes + len(t.Checkpoint)
@@ -59,6 +85,12 @@
 			size += placedTaskBytes
 		}
 	}
+	return size
+}
+
+// sizeOfRest returns the size of all but Tasks, rounded up.
+func (p *Progress) sizeOfRest() int {
+	size := rowHeaderBytes
 	for i := range p.Copies {
 		size += idleTaskBytes
 		if p.Copies[i].RunnerID != "" {
--- a/pkg/scheduler/second_run.go
+++ b/pkg/scheduler/second_run.go
@@ -7,8 +7,8 @@
 )
 
 // copyRowRoom is how many runs a copy counts as in the limit of a job's row: it is listed
-// on its own.
-const copyRowRoom = 2
+// on its own, with the name of its runner.
+const copyRowRoom = 1 + (idleTaskBytes+placedTaskBytes)/runnerPositionBytes
 
 // runs returns the current run of the task and its copy; the copy may be nil, and either
 // may not be placed.
@@ -82,8 +82,9 @@
 }
 
 // rowRoom returns how many more runs the job's row can hold.
-func (j *job) rowRoom() int {
-	return j.maxPlaced - j.placed - j.extraRuns - j.listedCopies
+func (c *Cell) rowRoom(j *job) int {
+	runs := max(1, j.spec.maxPlaced(j.checkpointSize, j.listedCopies, len(c.runners)))
+	return runs - j.placed - j.extraRuns
 }
 
 // listCopy records whether the row must list the copy of a task: there is one, or its
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -29,8 +29,8 @@
 	extraRuns int
 	// listedCopies counts the tasks with an entry in Progress.Copies.
 	listedCopies int
-	// maxPlaced limits placed, extraRuns and listedCopies together.
-	maxPlaced int
+	// checkpointSize is the size of the longest checkpoint that a task of the job had.
+	checkpointSize int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
 	// idleSince is since when the job has been waiting with nothing placed; it
@@ -198,7 +198,6 @@
 func newJob(seenAt time.Time, spec Spec) *job {
 	j := &job{
 		spec:       spec,
-		maxPlaced:  max(1, spec.maxPlaced()),
 		seenAt:     seenAt,
 		state:      StateQueued,
 		unfinished: spec.tasksPerOccurrence() * spec.occurrences(),
@@ -261,6 +260,12 @@
 	return p
 }
 
+// setCheckpoint records the task's checkpoint.
+func (t *taskState) setCheckpoint(checkpoint string) {
+	t.checkpoint = checkpoint
+	t.job.checkpointSize = max(t.job.checkpointSize, len(checkpoint))
+}
+
 // avoids reports whether the task failed or stalled on a runner.
 func (t *task) avoids(runnerID string) bool {
 	return slices.Contains(t.avoid, runnerID)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -141,7 +141,7 @@
 guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
 guard end-of-rejected-row-is-kept pkg/scheduler/runner_listing.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
-guard rows-fit-into-the-store pkg/scheduler/placing.go 's/w.job.rowRoom\(\) < 1/false/' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
+guard rows-fit-into-the-store pkg/scheduler/placing.go 's/c.rowRoom\(w.job\) < 1/false/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
 guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
 guard unstorable-job-is-refused pkg/controller/jobs.go 's/spec.CheckSize\(\); err != nil/spec.CheckSize(); false/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
 guard first-changed-first-committed pkg/scheduler/commit.go 's/cmp.Compare\(c.changed\[a\], c.changed\[b\]\)/cmp.Compare(a.spec.ID, b.spec.ID)/' pkg/scheduler TestChangedJobsAreCommittedInTurn
@@ -188,6 +188,9 @@
 guard orphans-go-beside-changes pkg/controller/owner.go 's/len\(commit.Rows\) <= orphanRows/!changed/' pkg/controller TestOrphanedRowsAreRemovedBesideChangedJobs
 guard orphans-need-all-jobs pkg/controller/owner.go 's/if o.cell != nil \&\& len\(commit.Rows\) <= orphanRows/if len(commit.Rows) <= orphanRows/' pkg/controller TestProgressIsNoOrphanBeforeAllJobsAreRead
 guard reused-id-is-no-orphan pkg/controller/sweeper.go '/^func \(c \*jobCache\) removeOrphans/,/^\}/{/case v.hasSpec:/,/progressVersion = 0/d}' pkg/controller TestOrphanOfReusedID
+guard large-row-names-runners-once pkg/scheduler/progress_row.go 's/if p.plainSize\(\) <= maxRowBytes \{/if true {/' pkg/scheduler TestLongCheckpointsFitIntoTheRow
+guard few-runners-hold-many-tasks pkg/scheduler/row_size.go 's/return max\(0, plain, compact\)/_ = compact; return max(0, plain)/' pkg/scheduler TestManyTasksOnFewRunnersArePlaced
+guard long-checkpoints-take-room pkg/scheduler/row_size.go 's/size \+= max\(checkpointBytes, checkpointSize\)/size += checkpointBytes/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
@@ -278,7 +281,7 @@
 guard ack-waits-for-the-other-start pkg/scheduler/runner_listing.go 's/ \&\& !p.unsettled.mayStart\(\)//' pkg/scheduler TestEndIsAckedOnceTheCopyCannotStart
 guard no-start-after-an-acknowledged-end pkg/scheduler/runner_listing.go 's/ \&\& !p.unsettled.mayStart\(\)//' $simulation TestSpeculativeStepsUnderFaults
 guard no-copy-after-the-last-failure pkg/scheduler/copies.go 's/t.failures\+1 < c.terms\(t.job\).MaxFailures/true/' $simulation TestSpeculativeStepsUnderFaults
-guard copies-count-in-the-row pkg/scheduler/copies.go 's/^\tif t.job.rowRoom\(\) < copyRowRoom \{/\tif false {/; s/ \&\& t.job.rowRoom\(\) >= copyRowRoom//' pkg/scheduler TestRowsWithCopies
+guard copies-count-in-the-row pkg/scheduler/copies.go 's/^\tif c.rowRoom\(t.job\) < copyRowRoom \{/\tif false {/; s/ \&\& c.rowRoom\(t.job\) >= copyRowRoom//' pkg/scheduler TestRowsWithCopies
 guard finite-starts-wait-for-the-higher-epoch pkg/scheduler/sync.go 's/c.cfg.Epoch >= s.fenceEpoch \|\| //; s/return t.spec\(\).LongRunning$/return true/' pkg/scheduler TestDelayedAckToFormerIncarnationDropsNoEnd
 guard released-runs-are-stored pkg/scheduler/loading.go '/^\tp.loadReleased\(tasks\)$/d' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
 guard uncounted-failure-needs-proof pkg/scheduler/expiry.go 's/ \&\& !t.failedUncounted\(e\)//' pkg/scheduler 'TestFailureOfGivenUpRunIsCountedOrNotAckedByNextOwner$'
