Refuse jobs that the owner could not hold

What can never be held is answered with 400. before: without the count, TestJobsBeyondTheMemoryAreRefused fails (guard jobs-beyond-the-memory-are-refused). after: it passes.

--- a/pkg/configurer/fleet.go
+++ b/pkg/configurer/fleet.go
@@ -60,7 +60,8 @@
 	// Runner is the IP number and port of the runner; agents only.
 	Runner string `toml:"runner"`
 	// MemoryBytes is the memory of the process's instance, 32 MiB to 1 TiB; zero means
-	// that of the smallest instance. Unfinished requests may hold a fifth of it.
+	// that of the smallest instance. Unfinished requests may hold a fifth of it, and jobs
+	// half of that of an entry.
 	MemoryBytes int64 `toml:"memory-bytes"`
 	// Descriptors is the number of file descriptors that the process may open, 256 to
 	// 1048576; zero means 4100, or fewer if the system allows fewer. Three quarters of
--- a/pkg/controller/admission.go
+++ b/pkg/controller/admission.go
@@ -124,14 +124,14 @@
 	}
 }
 
-// admit returns a *NotAcceptedError if the job is refused by the owner's estimates, and
-// whether it was committed before. A refusal is based on the job's row as read from
+// admit returns a *NotAcceptedError if the job is refused by the owner's estimates or for want of
+// memory, and whether it was committed before. A refusal is based on the job's row as read from
 // the store after the request arrived: the cache may not have a row yet that is
 // committed. If the row cannot be read, or an earlier submission through this entry is
 // under way, nothing is refused; the commit then decides.
 func (e *Entry) admit(ctx context.Context, spec *scheduler.Spec) (known bool, err error) {
 	now := e.clock.Now()
-	refusal := e.admission.view.Load().Refuse(now, estimatedJob(spec))
+	refusal := e.refusal(now, spec)
 	if refusal == nil || e.admission.underWay(now, spec.ID) || e.relay.AllRoutesDown() {
 		return false, nil
 	}
--- a/pkg/controller/entry.go
+++ b/pkg/controller/entry.go
@@ -128,7 +128,7 @@
 			FailureDomain: cfg.FailureDomain,
 			Incarnation:   d.Incarnation,
 		},
-		cache:  newJobCache(d.Log),
+		cache:  newJobCache(d.Log, cfg.MemoryBytes),
 		agents: map[string]*agentLink{},
 		peers:  map[string]float64{},
 
--- a/pkg/controller/job_cache.go
+++ b/pkg/controller/job_cache.go
@@ -21,6 +21,8 @@
 	progress  scheduler.Progress
 	// progressVersion is the version of the progress row; 0 if there is none.
 	progressVersion uint64
+	// counted is what is counted of the memory that the job takes.
+	counted int64
 }
 
 // state is the state of the job as reported to callers.
@@ -50,17 +52,19 @@
 type jobCache struct {
 	log  hclog.Logger
 	jobs map[string]*jobView
+	// memory counts what the jobs take.
+	memory *jobMemory
 	// orphaned has the ids of the views without a job row.
 	orphaned map[string]struct{}
 	// lease is the newest lease row of the cell.
 	lease storer.PartitionedRow
 }
 
-func newJobCache(log hclog.Logger) *jobCache {
+func newJobCache(log hclog.Logger, memoryBytes int64) *jobCache {
 	return &jobCache{
-		log:  log,
-		jobs: map[string]*jobView{},
-
+		log:      log,
+		jobs:     map[string]*jobView{},
+		memory:   newJobMemory(memoryBytes),
 		orphaned: map[string]struct{}{},
 	}
 }
@@ -110,6 +114,7 @@
 	}
 	v.spec = spec
 	v.hasSpec = true
+	c.memory.update(v)
 }
 
 // applyCell applies a lease row or a progress row of the cell table; one that is
@@ -129,8 +134,7 @@
 	v := c.view(id)
 	if row.Deleted {
 		if !v.hasSpec {
-			delete(c.jobs, id)
-			delete(c.orphaned, id)
+			c.drop(id)
 		}
 		return
 	}
@@ -149,11 +153,21 @@
 	v := c.view(id)
 	v.progress = p
 	v.progressVersion = version
+	c.memory.update(v)
 	if !v.hasSpec {
 		c.orphaned[id] = struct{}{}
 	}
 }
 
+// drop removes the view of a job without rows.
+func (c *jobCache) drop(id string) {
+	if v := c.jobs[id]; v != nil {
+		c.memory.remove(v)
+	}
+	delete(c.jobs, id)
+	delete(c.orphaned, id)
+}
+
 // pending returns the number of jobs of a queue of which no task has started.
 func (c *jobCache) pending(queue string) int {
 	n := 0
--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -59,16 +60,14 @@
 	return fmt.Sprintf("no job has the id %q", e.ID)
 }
 
-// Submit commits a job, at most once for each id. It returns nil if the job is
+// Submit commits a job, at most once for each id. The error is a *publisher.FieldError if the job
+// can never be held. It returns nil if the job is
 // committed, also by an earlier request, or if the id has a tombstone; the job is
 // then cancelled.
 func (e *Entry) Submit(ctx context.Context, spec scheduler.Spec) error {
-	if err := spec.CheckSize(); err != nil {
+	if err := cmp.Or(spec.CheckSize(), e.cache.memory.check(&spec)); err != nil {
 		e.refused.Add(1)
-		return &NotAcceptedError{
-			Reason:     err.Error(),
-			RetryAfter: retryAfter,
-		}
+		return err
 	}
 	if v := e.cachedJob(ctx, spec.ID); v.hasSpec {
 		return nil
@@ -79,6 +78,7 @@
 	began := e.clock.Now()
 	defer func() { e.submits.Record(e.clock.Now().Sub(began)) }()
 	spec.AcceptedAtMillis = began.UnixMilli()
+	defer e.cache.memory.reserve(&spec)()
 	e.admission.begin(spec.ID)
 	err := e.commitJobChange(ctx, storer.Change{
 		Expects: []storer.Expect{{
--- a/pkg/controller/sweeper.go
+++ b/pkg/controller/sweeper.go
@@ -139,9 +139,10 @@
 	v.hasSpec = false
 	v.cancelled = false
 	if v.progressVersion == 0 {
-		delete(c.jobs, id)
+		c.drop(id)
 		return
 	}
+	c.memory.update(v)
 	c.orphaned[id] = struct{}{}
 }
 
@@ -166,14 +167,12 @@
 func (c *jobCache) removeOrphans(ids []string) {
 	for _, id := range ids {
 		v := c.jobs[id]
-		switch {
-		case v == nil:
-		case v.hasSpec:
-			v.progress = scheduler.Progress{}
-			v.progressVersion = 0
-		default:
-			delete(c.jobs, id)
+		if v == nil || !v.hasSpec {
+			c.drop(id)
+			continue
 		}
-		delete(c.orphaned, id)
+		v.progress = scheduler.Progress{}
+		v.progressVersion = 0
+		c.memory.update(v)
 	}
 }
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -91,8 +91,8 @@
 	return max(1, s.RunCount)
 }
 
-// tasksPerOccurrence returns the number of tasks of one occurrence.
-func (s *Spec) tasksPerOccurrence() int {
+// TasksPerOccurrence returns the number of tasks of one occurrence.
+func (s *Spec) TasksPerOccurrence() int {
 	n := 0
 	for i := range s.Steps {
 		n += s.Steps[i].Count
@@ -332,7 +332,7 @@
 	if err := publisher.CheckRange("run-count", int64(s.RunCount), 0, maxTasks); err != nil {
 		return err
 	}
-	return publisher.CheckRange("tasks", int64(s.tasksPerOccurrence())*int64(s.occurrences()), 1, maxTasks)
+	return publisher.CheckRange("tasks", int64(s.TasksPerOccurrence())*int64(s.occurrences()), 1, maxTasks)
 }
 
 // check returns a *publisher.FieldError for the first field of the step at an index with an
--- a/pkg/scheduler/occurrence.go
+++ b/pkg/scheduler/occurrence.go
@@ -52,7 +52,7 @@
 
 // addListed adds the occurrences of the tasks that a row lists.
 func (j *job) addListed(rows []TaskProgress) {
-	for len(j.occurrences) < j.spec.occurrences() && len(j.occurrences)*j.spec.tasksPerOccurrence() < len(rows) {
+	for len(j.occurrences) < j.spec.occurrences() && len(j.occurrences)*j.spec.TasksPerOccurrence() < len(rows) {
 		j.addOccurrence()
 	}
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -200,7 +200,7 @@
 		spec:       spec,
 		seenAt:     seenAt,
 		state:      StateQueued,
-		unfinished: spec.tasksPerOccurrence() * spec.occurrences(),
+		unfinished: spec.TasksPerOccurrence() * spec.occurrences(),
 		chain:      longestChain(spec.Steps, nil, make([]time.Duration, len(spec.Steps))),
 	}
 	j.addOccurrence()
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -143,7 +143,7 @@
 guard end-of-rejected-row-is-kept pkg/scheduler/runner_listing.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
 guard rows-fit-into-the-store pkg/scheduler/placing.go 's/c.rowRoom\(w.job\) < 1/false/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
 guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
-guard unstorable-job-is-refused pkg/controller/jobs.go 's/spec.CheckSize\(\); err != nil/spec.CheckSize(); false/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
+guard unstorable-job-is-refused pkg/controller/jobs.go 's/cmp.Or\(spec.CheckSize\(\), /cmp.Or(/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
 guard first-changed-first-committed pkg/scheduler/commit.go 's/cmp.Compare\(c.changed\[a\], c.changed\[b\]\)/cmp.Compare(a.spec.ID, b.spec.ID)/' pkg/scheduler TestChangedJobsAreCommittedInTurn
 guard written-ends-are-acknowledged pkg/scheduler/commit.go 's/c.changed\[j\] - 1/c.committed/' pkg/scheduler TestChangedJobsAreCommittedInTurn
 guard rejection-is-permanent platform/store.go 's/status >= consts.StatusBadRequest \&\& //; s/status < consts.StatusInternalServerError/false/' platform TestRejectedChangeIsToldFromUnavailableStore
@@ -187,10 +187,13 @@
 guard failed-sweep-is-not-repeated-soon pkg/controller/sweeper.go 's/ \&\& !s.failed \{/ {/' pkg/controller TestBacklogOfFinishedJobs
 guard orphans-go-beside-changes pkg/controller/owner.go 's/len\(commit.Rows\) <= orphanRows/!changed/' pkg/controller TestOrphanedRowsAreRemovedBesideChangedJobs
 guard orphans-need-all-jobs pkg/controller/owner.go 's/if o.cell != nil \&\& len\(commit.Rows\) <= orphanRows/if len(commit.Rows) <= orphanRows/' pkg/controller TestProgressIsNoOrphanBeforeAllJobsAreRead
-guard reused-id-is-no-orphan pkg/controller/sweeper.go '/^func \(c \*jobCache\) removeOrphans/,/^\}/{/case v.hasSpec:/,/progressVersion = 0/d}' pkg/controller TestOrphanOfReusedID
+guard reused-id-is-no-orphan pkg/controller/sweeper.go 's/if v == nil \|\| !v.hasSpec \{/if true {/' pkg/controller TestOrphanOfReusedID
 guard large-row-names-runners-once pkg/scheduler/progress_row.go 's/if p.plainSize\(\) <= maxRowBytes \{/if true {/' pkg/scheduler TestLongCheckpointsFitIntoTheRow
 guard few-runners-hold-many-tasks pkg/scheduler/row_size.go 's/return max\(0, plain, compact\)/_ = compact; return max(0, plain)/' pkg/scheduler TestManyTasksOnFewRunnersArePlaced
 guard long-checkpoints-take-room pkg/scheduler/row_size.go 's/size \+= max\(checkpointBytes, checkpointSize\)/size += checkpointBytes/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
+guard jobs-beyond-the-memory-are-refused pkg/controller/job_memory.go 's/<= m.budget \{/<= m.budget || true {/' pkg/controller TestJobsBeyondTheMemoryAreRefused
+guard job-too-large-for-the-memory pkg/controller/jobs.go 's/cmp.Or\(spec.CheckSize\(\), e.cache.memory.check\(&spec\)\)/cmp.Or(spec.CheckSize())/' pkg/controller TestJobThatCanNeverBeHeldIsInvalid
+guard memory-of-removed-jobs-is-free pkg/controller/job_memory.go 's/m.held.Add\(-v.counted\)//' pkg/controller TestMemoryOfRemovedJobsIsFree
 guard lapses-fit-into-the-row pkg/scheduler/lapse_row.go 's/room -= needs; room < 0/room -= needs; false/' pkg/scheduler TestLapsesFitIntoTheRow
 guard listing-refutes-crash pkg/scheduler/report.go 's/c.refuteLapses\(s\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard suspects-are-tried-alone pkg/scheduler/refusal.go 's/if s.onTrial\(now\) \{/if false {/' pkg/scheduler TestSuspectIsTriedAlone
