--- a/pkg/controller/sweeper_test.go
+++ b/pkg/controller/sweeper_test.go
@@ -102,10 +102,9 @@
 	t.Helper()
 	c := newJobCache(hclog.NewNullLogger(), 0)
 	s := sweeper{}
-	now := start
 	came := 0
 	for second := range hours * 3600 {
-		now = start.Add(time.Duration(second) * time.Second)
+		now := start.Add(time.Duration(second) * time.Second)
 		for ; came < int(jobsPerSecond*float64(second)); came++ {
 			id := fmt.Sprintf("%016x", came)
 			c.addJob(now, scheduler.Spec{
