Draw jobs of any size in a test of their rows

TestTasksOfJobLargerThanOneRowStart shows the class that is left: one of 600 tasks with saved values of 200 bytes is placed.

--- a/pkg/scheduler/progress_row_test.go
+++ b/pkg/scheduler/progress_row_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +130,48 @@
 		assert.ErrorContains(t, cbor.Unmarshal(data, &p), "in a job's progress")
 	}
 }
+
+// No job may have a row that the store rejects, whatever the number of its tasks, the lengths of
+// their checkpoints and the number of runners, provided that one row can list its tasks: its runs
+// would not start, and its ends not be acknowledged.
+func TestRowsOfAnySizeFit(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			h := newLargeHarness(t, 1+rnd.IntN(40))
+			var steps []Step
+			for range 1 + rnd.IntN(4) {
+				step := newStep(1+rnd.IntN(1200), 10)
+				step.Checkpoints = rnd.IntN(2) == 0
+				step.LongRunning = rnd.IntN(2) == 0
+				steps = append(steps, step)
+			}
+			h.add("j", "checks", steps...)
+			j := h.cell.jobs["j"]
+			longest := (maxRowBytes-rowHeaderBytes)/len(j.tasks()) - idleTaskBytes
+			for _, task := range j.tasks() {
+				if task.spec().Checkpoints {
+					task.setCheckpoint(strings.Repeat("c", rnd.IntN(min(longest, 300))))
+				}
+			}
+			h.tickUntilIdle()
+			assert.Assert(t, j.placed > 0)
+			assertRow(t, j)
+		})
+	}
+}
+
+// A job whose saved values do not fit into one row must still have all of its tasks running.
+func TestTasksOfJobLargerThanOneRowStart(t *testing.T) {
+	h := newLargeHarness(t, 6)
+	step := newStep(600, 10)
+	step.Checkpoints = true
+	h.add("j", "checks", step)
+	j := h.cell.jobs["j"]
+	for _, task := range j.tasks() {
+		task.setCheckpoint(strings.Repeat("c", 200))
+	}
+	h.tickUntilIdle()
+	assert.Equal(t, j.placed, 600)
+	assertRow(t, j)
+}
