--- a/pkg/scheduler/lapse_test.go
+++ b/pkg/scheduler/lapse_test.go
@@ -254,3 +254,31 @@
 	h.back(agent, r)
 	assert.Equal(t, len(h.cell.taskByName("j.0.0.0").crashedAt), 0)
 }
+
+// A runner that is back after the job has ended must change nothing, and a lapse not outlive the
+// task that it is about.
+func TestLapseEndsWithItsTask(t *testing.T) {
+	h := newCrashHarness(t, 3)
+	h.add("j", "checks", newStep(1, 500))
+	agent := h.start("j.0.0.0")
+	r := h.cutOff(agent)
+	next := h.start("j.0.0.0")
+	h.finish(next, runRef("j.0.0.0", 2), framer.FinishDone)
+	h.tickUntilIdle()
+	assert.Assert(t, !h.cell.HasJob("j"), "it is completed")
+	h.advance(time.Second)
+	assert.Equal(t, len(h.cell.lapses.runners), 0)
+	h.back(agent, r)
+	assert.Equal(t, h.cell.Counts.GivenUp, int64(0))
+}
+
+// A restarted agent must not hide that its runner is the one that was cut off.
+func TestRunnerIsBackWithRestartedAgent(t *testing.T) {
+	h := newCrashHarness(t, 3)
+	h.add("j", "checks", newStep(1, 500))
+	agent := h.start("j.0.0.0")
+	r := h.cutOff(agent)
+	h.cell.AgentDisconnected(agent)
+	h.back("restarted-"+agent, r)
+	assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord(), crashRecord{})
+}
