--- a/pkg/controller/sweeper_test.go
+++ b/pkg/controller/sweeper_test.go
@@ -18,14 +18,19 @@
 // cacheWithFinishedJob returns a cache with one job that finished at start.
 func cacheWithFinishedJob() *jobCache {
 	c := newJobCache(hclog.NewNullLogger(), 0)
-	c.addJob(start, scheduler.Spec{
-		ID: "a",
+	c.addFinished(start, "a")
+	return c
+}
+
+// addFinished adds a job that finished at the given time.
+func (c *jobCache) addFinished(at time.Time, id string) {
+	c.addJob(at, scheduler.Spec{
+		ID: id,
 	})
-	c.setProgress("a", scheduler.Progress{
+	c.setProgress(id, scheduler.Progress{
 		State:         scheduler.StateCompleted,
-		EndedAtMillis: start.UnixMilli(),
+		EndedAtMillis: at.UnixMilli(),
 	}, 5)
-	return c
 }
 
 func TestFinishedJobExpiresAfterRetention(t *testing.T) {
@@ -106,14 +111,7 @@
 	for second := range hours * 3600 {
 		now := start.Add(time.Duration(second) * time.Second)
 		for ; came < int(jobsPerSecond*float64(second)); came++ {
-			id := fmt.Sprintf("%016x", came)
-			c.addJob(now, scheduler.Spec{
-				ID: id,
-			})
-			c.setProgress(id, scheduler.Progress{
-				State:         scheduler.StateCompleted,
-				EndedAtMillis: now.UnixMilli(),
-			}, 5)
+			c.addFinished(now, fmt.Sprintf("%016x", came))
 		}
 		for half := range 2 {
 			at := now.Add(time.Duration(half) * 500 * time.Millisecond)
@@ -151,14 +149,7 @@
 func TestBacklogOfFinishedJobs(t *testing.T) {
 	c := newJobCache(hclog.NewNullLogger(), 0)
 	for i := range 10_000 {
-		id := fmt.Sprintf("%016x", i)
-		c.addJob(start, scheduler.Spec{
-			ID: id,
-		})
-		c.setProgress(id, scheduler.Progress{
-			State:         scheduler.StateCompleted,
-			EndedAtMillis: start.UnixMilli(),
-		}, 5)
+		c.addFinished(start, fmt.Sprintf("%016x", i))
 	}
 	now := start.Add(time.Hour)
 	s := sweeper{}
--- a/pkg/placer/crash_test.go
+++ b/pkg/placer/crash_test.go
@@ -7,9 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// lifeOf starts a placed task on its worker and lets it run, and then replaces the
-// worker, which had not announced its end.
-func lifeOf(t *testing.T, c *Cell, now time.Time, id string, runs time.Duration) time.Time {
+// startOn starts a placed task on its worker, which reports it.
+func startOn(t *testing.T, c *Cell, now time.Time, id string) (*worker, *trackedTask) {
 	t.Helper()
 	c.Tick(now)
 	commitAll(c, now)
@@ -18,6 +17,14 @@
 	w := c.workers[e.Worker]
 	c.Sync(now, w.address, true)
 	c.HandleReport(now, w.address, reportOf(w.incarnation, runningReport(e)))
+	return w, e
+}
+
+// lifeOf starts a placed task on its worker and lets it run, and then replaces the
+// worker, which had not announced its end.
+func lifeOf(t *testing.T, c *Cell, now time.Time, id string, runs time.Duration) time.Time {
+	t.Helper()
+	w, e := startOn(t, c, now, id)
 	now = now.Add(runs)
 	c.HandleReport(now, w.address, reportOf(w.incarnation, runningReport(e)))
 	c.HandleReport(now, w.address, reportOf(w.incarnation+1))
--- a/pkg/placer/lapse_test.go
+++ b/pkg/placer/lapse_test.go
@@ -13,13 +13,7 @@
 // expired. It returns the worker and the time.
 func cutOff(t *testing.T, c *Cell, now time.Time, id string) (*worker, time.Time) {
 	t.Helper()
-	c.Tick(now)
-	commitAll(c, now)
-	e := c.tasks["cell-1/"+id]
-	assert.Equal(t, e.State, StatePlaced)
-	w := c.workers[e.Worker]
-	c.Sync(now, w.address, true)
-	c.HandleReport(now, w.address, reportOf(w.incarnation, runningReport(e)))
+	w, _ := startOn(t, c, now, id)
 	c.MarkUnreachable(now, w.address)
 	now = now.Add(TaskLease + time.Second)
 	c.Tick(now)
--- a/pkg/scheduler/row_size_test.go
+++ b/pkg/scheduler/row_size_test.go
@@ -18,18 +18,7 @@
 // The store rejects a row that is too large, so no run of its job would start, and
 // none of its ends be acknowledged.
 func TestRowsAndCommitsFitIntoTheStore(t *testing.T) {
-	agents := make([]string, 8)
-	for i := range agents {
-		agents[i] = fmt.Sprintf("255.255.255.%03d:65535", i)
-	}
-	h := newCellHarness(t, agents...)
-	for agent, r := range h.runners {
-		r.Runner.Address = agent
-		r.Runner.Key.StartedAtMillis = 1_767_225_600_000
-		r.Runner.ProcessorMillis = 1_000_000
-		r.Runner.MemoryBytes = 10_000 * gigabyte
-		h.report(agent)
-	}
+	h := newLargeHarness(t, 8)
 	const jobs = 24
 	for i := range jobs {
 		step := newStep(2000, 10)
