Wait in a test until connections may be closed

cause: TestIdlestConnectionIsClosedForMemory waited for bytes that are held. A connection that was just read from holds them already, and is closed for another one only once it waits for more. ruled out: the product; the connection that waits longest is closed, of those that wait. change: the test waits until each connection holds its request and waits for more.

--- a/pkg/server/conn_test.go
+++ b/pkg/server/conn_test.go
@@ -223,11 +223,11 @@
 		return peer
 	}
 	first := unfinished()
-	awaitHeld(t, s, 32<<10)
+	awaitClosable(t, s, 1)
 	unfinished()
-	awaitHeld(t, s, 64<<10)
+	awaitClosable(t, s, 2)
 	unfinished()
-	awaitHeld(t, s, 64<<10)
+	awaitClosable(t, s, 3)
 	fourth := unfinished()
 	status, header := first.status()
 	assert.Equal(t, status, http.StatusServiceUnavailable)
@@ -251,12 +251,21 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// awaitHeld waits until all connections together hold at least n bytes.
-func awaitHeld(t testing.TB, s *testServer, n int) {
+// awaitClosable waits until n connections hold an unfinished request and wait for more of it: one
+// that has just been read from is not closed for another one.
+func awaitClosable(t testing.TB, s *testServer, n int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if have := s.limiter.snapshot().HeldBytes; have < n {
-			return poll.Continue("%d bytes held", have)
+		s.limiter.mu.Lock()
+		defer s.limiter.mu.Unlock()
+		have := 0
+		for c := range s.limiter.conns {
+			if c.held > 0 && c.closable() {
+				have++
+			}
+		}
+		if have != n {
+			return poll.Continue("%d connections wait for more", have)
 		}
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
