Reach the bound of a commit again in its test

The comment of Submit is rewrapped. before: the guard survives. after: it is red, 799,560 bytes where 600,000 are allowed.

--- a/pkg/controller/jobs.go
+++ b/pkg/controller/jobs.go
@@ -60,10 +60,9 @@
 	return fmt.Sprintf("no job has the id %q", e.ID)
 }
 
-// Submit commits a job, at most once for each id. The error is a *publisher.FieldError if the job
-// can never be held. It returns nil if the job is
-// committed, also by an earlier request, or if the id has a tombstone; the job is
-// then cancelled.
+// Submit commits a job, at most once for each id. It returns nil if the job is committed, also by
+// an earlier request, or if the id has a tombstone; the job is then cancelled. The error is a
+// *publisher.FieldError if the job can never be held.
 func (e *Entry) Submit(ctx context.Context, spec scheduler.Spec) error {
 	if err := cmp.Or(spec.CheckSize(), e.cache.memory.check(&spec)); err != nil {
 		e.refused.Add(1)
--- a/pkg/scheduler/row_size_test.go
+++ b/pkg/scheduler/row_size_test.go
@@ -19,9 +19,9 @@
 // none of its ends be acknowledged.
 func TestRowsAndCommitsFitIntoTheStore(t *testing.T) {
 	h := newLargeHarness(t, 8)
-	const jobs = 24
+	const jobs = 40
 	for i := range jobs {
-		step := newStep(2000, 10)
+		step := newStep(5000, 10)
 		step.LongRunning = true
 		if i%2 == 1 {
 			step.Checkpoints = true
