Count the crash of a stopped run once, whoever owns the cell

Cause: a run whose start may still reach the next incarnation of its runner is stopped there. That its crash was counted stood in the owner's memory only; if that incarnation crashed under the next owner, the run counted again. Change: the job's row lists the placed runs that have been counted, as far as it has room; without an entry the next owner may count one again. Before: go test ./pkg/scheduler -run TestCrashIsCountedOnceAcrossOwners: two crashes.

--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -20,6 +20,9 @@
 	suspectCrashes = 2
 )
 
+// countedRunBytes bounds what an entry of Progress.CountedRuns takes.
+const countedRunBytes = 5
+
 // crashRecord is what speaks for that a task crashes its runners.
 type crashRecord struct {
 	// crashes counts the runners that crashed under the task.
@@ -80,3 +83,24 @@
 	}
 	return r
 }
+
+// recordCountedRuns stores which placed runs have been counted as far as the row has room. Such
+// a run is to be stopped in the runner's next incarnation, which may crash as well.
+func (p *Progress) recordCountedRuns(tasks []*task) {
+	room := (maxRowBytes - p.size()) / countedRunBytes
+	for i, t := range tasks {
+		if room > 0 && t.runner != nil && t.run > 0 && t.crashedRun == t.run {
+			p.CountedRuns = append(p.CountedRuns, i)
+			room--
+		}
+	}
+}
+
+// loadCountedRuns restores which runs have been counted.
+func (p *Progress) loadCountedRuns(tasks []*task) {
+	for _, i := range p.CountedRuns {
+		if i >= 0 && i < len(tasks) {
+			tasks[i].crashedRun = tasks[i].run
+		}
+	}
+}
--- a/pkg/scheduler/job.go
+++ b/pkg/scheduler/job.go
@@ -172,6 +172,9 @@
 	// evidence that its start causes them; both are empty if there are none.
 	Crashes    []byte `cbor:"crashes,omitempty"`
 	Suspicions []byte `cbor:"suspicions,omitempty"`
+	// CountedRuns lists the placed tasks, by index, whose present run has been counted in
+	// Crashes. A row without room for them omits some.
+	CountedRuns []int `cbor:"counted-runs,omitempty"`
 	// Released lists the tasks with released runs, by index. MoreReleased is set if others
 	// after them have some too.
 	Released     []ReleasedRuns `cbor:"released,omitempty"`
--- a/pkg/scheduler/late_crash_test.go
+++ b/pkg/scheduler/late_crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -91,3 +92,35 @@
 	task.record.crashes = quietCrashes
 	assert.Equal(t, h.start("j.0.0.0"), settled)
 }
+
+// A crash must not be counted twice: a run that is to be stopped in the next incarnation of its
+// runner, which crashes in turn, ended with the first one, whoever owns the cell then.
+func TestCrashIsCountedOnceAcrossOwners(t *testing.T) {
+	h := newCrashHarness(t, 2)
+	h.add("j", "checks", newStep(1, 500))
+	agent := h.start("j.0.0.0")
+	restart := func(c *Cell) {
+		r := h.runners[agent]
+		r.Runner.Key.StartedAtMillis++
+		r.ClockMillis = 5
+		r.Running = nil
+		c.HandleReport(h.now, agent, *r)
+	}
+	restart(h.cell)
+	assert.Equal(t, h.cell.taskByName("j.0.0.0").record.crashes, 1)
+	assert.Equal(t, h.agentOf("j.0.0.0"), agent, "its start may still reach the next incarnation")
+	data, err := cbor.Marshal(h.cell.jobs["j"].progress())
+	assert.NilError(t, err)
+	var p Progress
+	assert.NilError(t, cbor.Unmarshal(data, &p))
+	next := NewCell(Config{
+		Epoch:           2,
+		Assert:          strictAsserter(t),
+		Lease:           testLease,
+		FormerLeasesEnd: h.now,
+	})
+	next.Load(h.now, h.cell.jobs["j"].spec, p)
+	restart(next)
+	restart(next)
+	assert.Equal(t, next.taskByName("j.0.0.0").record.crashes, 1)
+}
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -100,5 +100,5 @@
 	for i := range p.Lapsed {
 		size += p.Lapsed[i].size()
 	}
-	return size
+	return size + countedRunBytes*len(p.CountedRuns)
 }
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -257,6 +257,7 @@
 		}
 	}
 	p.recordLapses(tasks)
+	p.recordCountedRuns(tasks)
 	return p
 }
 
