Clear the record of a long-running task after a minute, not ten seconds

A long-running task that ends its runner 10 s or more after each start was started without end. Cause: ten seconds of work, which show that a later failure is no evidence against the runner, were taken for proof that the task is sound as well. Ruled out: the count itself: with a delay of 0.6 s the task was given up. Change: the record is cleared after a minute of work. It can't count for ever: a long-running task loses a runner now and then for as long as it runs. Before: go test ./pkg/scheduler -run TestLongRunningTaskThatCrashesRunnersLateIsGivenUp: with delays of 11 s and 50 s nothing was given up after five crashes. After: given up with each delay. The guard seconds-of-work-clear-no-record is red without it. Conclusion: the bound holds for crashes within a minute of the start. One that ends its runner later than that is still started again each time.

--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -18,6 +18,9 @@
 	// suspectCrashes is the number of crashes at which a task is a suspect although
 	// its runs survived their starts, or may have.
 	suspectCrashes = 2
+	// soundWork is how long a run of a long-running task must be listed to clear the record:
+	// such a task never ends, and may lose runners now and then for as long as it runs.
+	soundWork = time.Minute
 )
 
 // countedRunBytes bounds what an entry of Progress.CountedRuns takes.
@@ -56,7 +59,7 @@
 			run.added.suspicion = 0
 		}
 	}
-	if t.provesRunner(now) {
+	if t.provesTask(now) {
 		t.record = crashRecord{}
 		t.lapses = nil
 	}
@@ -65,6 +68,12 @@
 	}
 }
 
+// provesTask reports whether a long-running task was at work for so long that its record no
+// longer counts.
+func (t *task) provesTask(now time.Time) bool {
+	return t.spec().LongRunning && t.listed && now.Sub(t.listedSince) >= soundWork
+}
+
 // recordCrashes stores the crash record of the task at an index.
 func (p *Progress) recordCrashes(index, tasks int, r crashRecord) {
 	if p.Crashes == nil {
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -141,7 +141,7 @@
 		h.crash(h.start("j.0.0.0"))
 		h.advance(suspectDelay)
 		h.start("j.0.0.0")
-		h.advance(provenWork + time.Second)
+		h.advance(soundWork + time.Second)
 		assert.Equal(t, h.cell.taskByName("j.0.0.0").record, crashRecord{})
 	})
 	t.Run("a runner that crashes again says little", func(t *testing.T) {
--- a/pkg/scheduler/late_crash_test.go
+++ b/pkg/scheduler/late_crash_test.go
@@ -124,3 +124,24 @@
 	restart(next)
 	assert.Equal(t, next.taskByName("j.0.0.0").record.crashes, 1)
 }
+
+// A long-running task that ends its runner seconds after each start must not be started
+// without end because its work up to then clears its record (BUDGET).
+func TestLongRunningTaskThatCrashesRunnersLateIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{lateCrash, provenWork + time.Second, 50 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			h := newCrashHarness(t, 4)
+			step := newStep(1, 500)
+			step.LongRunning = true
+			h.add("j", "checks", step)
+			for range maxCrashes {
+				agent := h.start("j.0.0.0")
+				h.advance(delay)
+				h.crash(agent)
+				h.advance(longRunningRestartDelay + suspectDelay)
+			}
+			assert.Equal(t, h.cell.Counts.GivenUp, int64(1))
+			assert.Assert(t, !h.cell.HasJob("j"))
+		})
+	}
+}
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -166,6 +166,7 @@
 guard every-crash-is-counted-under-faults pkg/scheduler/crash.go 's/^\tt.crashedRun = t.run$/\tt.crashedRun = t.run; if s.reported \&\& t.survivedStart() \&\& n.explaining > 0 { return crashRecord{} }/' $simulation TestTasksThatCrashBusyRunnersLateAreGivenUp
 guard survived-run-is-not-suspected pkg/scheduler/crash.go 's/ \|\| !t.mayCrashByStart\(\):/:/' pkg/scheduler TestSoundTaskIsNotBlamedForCrashesBesideIt
 guard counted-crash-is-stored pkg/scheduler/loading.go 's/p.loadCountedRuns\(tasks\)//' pkg/scheduler TestCrashIsCountedOnceAcrossOwners
+guard seconds-of-work-clear-no-record pkg/scheduler/crash_record.go 's/t.provesTask\(now\) \{/t.provesRunner(now) {/' pkg/scheduler TestLongRunningTaskThatCrashesRunnersLateIsGivenUp
 guard many-crashes-need-quiet pkg/scheduler/trial.go 's/\(t.needsQuiet\(\) \|\| !t.survivedStart\(\)\)/!t.survivedStart()/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
 guard quiet-trial-ends pkg/scheduler/trial.go 's/maxQuietTrial = 5 \* time.Second/maxQuietTrial = time.Hour/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
 guard many-crashes-need-settled-runner pkg/scheduler/trial.go 's/e.unsettled = 1/e.unsettled = 0/' pkg/scheduler TestTaskThatLostManyRunnersIsTriedOnSettledRunner
