Store checkpoints in what room a job's row has left

A job whose saved values grow after its tasks were placed had a row that the store refuses for ever: none of its runs starts, and ends of other jobs on its runners are not acknowledged. A job of 600 tasks with values of 200 bytes had one task placed. Cause: the bound on placed tasks reserved room for the longest value that any task had so far, for every task. What comes later was not bounded, and what was there kept out tasks that could run. Change: values have what room is left, those of waiting tasks first. Only the one of each gang is reserved, as its members must start with the same; where the row is full, one is stored for all. A value of more than 16 KiB is not kept. TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds demanded that tasks wait for their values to fit, which is the fault; TestTasksWaitRatherThanMakeTheRowTooLarge demands it where the tasks themselves don't fit, and TestRowFitsWhateverCheckpointsBecome that all are placed and the row is in bounds. TestRowsOfAnySizeFit draws values of 300 bytes whatever fits. Conclusion: no value makes a row too large or keeps a task from being placed.

--- a/pkg/scheduler/crash_record.go
+++ b/pkg/scheduler/crash_record.go
@@ -96,7 +96,7 @@
 // recordCountedRuns stores which placed runs have been counted as far as the row has room. Such
 // a run is to be stopped in the runner's next incarnation, which may crash as well.
 func (p *Progress) recordCountedRuns(tasks []*task) {
-	room := (maxRowBytes - p.size()) / countedRunBytes
+	room := p.room() / countedRunBytes
 	for i, t := range tasks {
 		if room > 0 && t.runner != nil && t.run > 0 && t.crashedRun == t.run {
 			p.CountedRuns = append(p.CountedRuns, i)
--- a/pkg/scheduler/lapse_row.go
+++ b/pkg/scheduler/lapse_row.go
@@ -37,7 +37,7 @@
 // recordLapses stores the lapses of a job's tasks as far as the row has room for them. Without
 // an entry, the next owner takes none of them for a crash.
 func (p *Progress) recordLapses(tasks []*task) {
-	room := maxRowBytes - p.size()
+	room := p.room()
 	positions := map[*lapsedRunner]int{}
 	for i, t := range tasks {
 		if t.done {
--- a/pkg/scheduler/loading.go
+++ b/pkg/scheduler/loading.go
@@ -76,6 +76,7 @@
 	p.loadReleased(tasks)
 	c.loadLapses(seenAt, tasks, p.Lapsed)
 	p.loadCountedRuns(tasks)
+	loadGangCheckpoints(tasks)
 }
 
 // loadRun restores a run that may be on a runner.
--- a/pkg/scheduler/row_size.go
+++ b/pkg/scheduler/row_size.go
@@ -9,7 +9,7 @@
 	maxRowBytes    = 64 << 10
 	maxCommitBytes = 600_000
 	// idleTaskBytes bounds what a task that is not placed takes in its job's row,
-	// with its crash record, checkpointBytes what a checkpoint adds, and
+	// with its crash record, checkpointBytes what the checkpoint of a gang adds at least, and
 	// placedTaskBytes what the name and the address of a runner add. rowHeaderBytes
 	// bounds the rest.
 	idleTaskBytes   = 12
@@ -28,17 +28,18 @@
 )
 
 // maxPlaced returns how many of the job's tasks may be placed at the same time, so that its
-// progress fits into a row. checkpointSize is the size of its longest checkpoint, copies the
-// number of entries in Progress.Copies, and runners the number of runners that there are.
+// progress fits into a row with a checkpoint for each gang; other checkpoints have what room is
+// left. checkpointSize is the size of the longest checkpoint of a gang, copies the number of
+// entries in Progress.Copies, and runners the number of runners that there are.
 func (s *Spec) maxPlaced(checkpointSize, copies, runners int) int {
 	free := maxRowBytes - rowHeaderBytes - copies*(idleTaskBytes+placedTaskBytes)
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		size := idleTaskBytes
-		if step.Checkpoints || checkpointSize > 0 {
+		size := idleTaskBytes * step.Count
+		if step.Gang && (step.Checkpoints || checkpointSize > 0) {
 			size += max(checkpointBytes, checkpointSize)
 		}
-		free -= size * step.Count * s.occurrences()
+		free -= size * s.occurrences()
 	}
 	plain := free / placedTaskBytes
 	compact := (free - runners*placedTaskBytes) / runnerPositionBytes
@@ -62,6 +63,16 @@
 	if plain := p.plainSize(); plain <= maxRowBytes {
 		return plain
 	}
+	return p.compactSize()
+}
+
+// room returns how many bytes more the row can hold in the smaller of its forms.
+func (p *Progress) room() int {
+	return maxRowBytes - min(p.plainSize(), p.compactSize())
+}
+
+// compactSize returns the size of the compact form, rounded up.
+func (p *Progress) compactSize() int {
 	size := p.sizeOfRest()
 	runners := map[rowRunner]struct{}{}
 	for i := range p.Tasks {
--- a/pkg/scheduler/second_run.go
+++ b/pkg/scheduler/second_run.go
@@ -83,7 +83,7 @@
 
 // rowRoom returns how many more runs the job's row can hold.
 func (c *Cell) rowRoom(j *job) int {
-	runs := max(1, j.spec.maxPlaced(j.checkpointSize, j.listedCopies, len(c.runners)))
+	runs := max(1, j.spec.maxPlaced(j.gangCheckpointSize, j.listedCopies, len(c.runners)))
 	return runs - j.placed - j.extraRuns
 }
 
--- a/pkg/scheduler/task.go
+++ b/pkg/scheduler/task.go
@@ -29,8 +29,9 @@
 	extraRuns int
 	// listedCopies counts the tasks with an entry in Progress.Copies.
 	listedCopies int
-	// checkpointSize is the size of the longest checkpoint that a task of the job had.
-	checkpointSize int
+	// gangCheckpointSize is the size of the longest checkpoint that a member of a gang of the
+	// job had.
+	gangCheckpointSize int
 	// unplaced is set while the job is in the cell's list of that name.
 	unplaced bool
 	// idleSince is since when the job has been waiting with nothing placed; it
@@ -238,13 +239,9 @@
 		}
 		p.recordReleased(i, t)
 		row := TaskProgress{
-			Done:       t.done,
-			Run:        t.run,
-			Failures:   t.failures,
-			Checkpoint: t.checkpoint,
-		}
-		if t.done {
-			row.Checkpoint = ""
+			Done:     t.done,
+			Run:      t.run,
+			Failures: t.failures,
 		}
 		if t.runner != nil {
 			row.RunnerID = t.runner.key.ID
@@ -258,15 +255,10 @@
 	}
 	p.recordLapses(tasks)
 	p.recordCountedRuns(tasks)
+	p.recordCheckpoints(tasks)
 	return p
 }
 
-// setCheckpoint records the task's checkpoint.
-func (t *taskState) setCheckpoint(checkpoint string) {
-	t.checkpoint = checkpoint
-	t.job.checkpointSize = max(t.job.checkpointSize, len(checkpoint))
-}
-
 // avoids reports whether the task failed or stalled on a runner.
 func (t *task) avoids(runnerID string) bool {
 	return slices.Contains(t.avoid, runnerID)
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -141,7 +141,7 @@
 guard early-rows-are-read-again pkg/controller/loading.go 's/rows.epoch != o.lease.Epoch\(\)/false/' pkg/controller TestRowsReadBeforeAcquisitionAreReadAgain
 guard rejected-write-is-discarded pkg/controller/owner.go 's/case errors.As\(err, \&rejected\):/case false \&\& errors.As(err, \&rejected):/' pkg/controller TestRejectedWriteBlocksNoOther
 guard end-of-rejected-row-is-kept pkg/scheduler/runner_listing.go 's/p.job == nil \|\| !p.job.rejected/true/' pkg/scheduler TestEndOfRejectedRowIsNotAcked
-guard rows-fit-into-the-store pkg/scheduler/placing.go 's/c.rowRoom\(w.job\) < 1/false/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
+guard rows-fit-into-the-store pkg/scheduler/placing.go 's/c.rowRoom\(w.job\) < 1/false/' pkg/scheduler TestTasksWaitRatherThanMakeTheRowTooLarge
 guard commits-fit-into-the-store pkg/scheduler/commit.go 's/ \|\| i > 0 \&\& size > maxCommitBytes//' pkg/scheduler TestRowsAndCommitsFitIntoTheStore
 guard unstorable-job-is-refused pkg/controller/jobs.go 's/cmp.Or\(spec.CheckSize\(\), /cmp.Or(/' pkg/controller TestJobOfTooManyTasksIsNotSubmitted
 guard first-changed-first-committed pkg/scheduler/commit.go 's/cmp.Compare\(c.changed\[a\], c.changed\[b\]\)/cmp.Compare(a.spec.ID, b.spec.ID)/' pkg/scheduler TestChangedJobsAreCommittedInTurn
@@ -197,7 +197,12 @@
 guard reused-id-is-no-orphan pkg/controller/sweeper.go 's/if v == nil \|\| !v.hasSpec \{/if true {/' pkg/controller TestOrphanOfReusedID
 guard large-row-names-runners-once pkg/scheduler/progress_row.go 's/if p.plainSize\(\) <= maxRowBytes \{/if true {/' pkg/scheduler TestLongCheckpointsFitIntoTheRow
 guard few-runners-hold-many-tasks pkg/scheduler/row_size.go 's/return max\(0, plain, compact\)/_ = compact; return max(0, plain)/' pkg/scheduler TestManyTasksOnFewRunnersArePlaced
-guard long-checkpoints-take-room pkg/scheduler/row_size.go 's/size \+= max\(checkpointBytes, checkpointSize\)/size += checkpointBytes/' pkg/scheduler TestTasksWithVeryLongCheckpointsLeaveTheRowInBounds
+guard checkpoint-of-gang-takes-room pkg/scheduler/row_size.go 's/size \+= max\(checkpointBytes, checkpointSize\)/size += checkpointBytes/' pkg/scheduler TestFullRowHasTheCheckpointOfAGang
+guard gang-has-one-checkpoint pkg/scheduler/loading.go 's/loadGangCheckpoints\(tasks\)//' pkg/scheduler TestFullRowHasTheCheckpointOfAGang
+guard checkpoints-have-what-room-is-left pkg/scheduler/checkpoint_row.go 's/ \|\| len\(t.checkpoint\) > room//' pkg/scheduler TestRowFitsWhateverCheckpointsBecome
+guard checkpoints-of-waiting-tasks-first pkg/scheduler/checkpoint_row.go 's/t.runner == nil \}\)/t.runner != nil })/' pkg/scheduler TestRowKeepsCheckpointsThatNothingElseTells
+guard oversized-checkpoint-is-not-kept pkg/scheduler/checkpoint_row.go 's/len\(checkpoint\) > maxCheckpointBytes/false/' pkg/scheduler TestCheckpointLargerThanARowIsNotKept
+guard checkpoints-hold-back-no-task pkg/scheduler/row_size.go 's/if step.Gang \&\& \(step.Checkpoints/if (step.Checkpoints/; s/size := idleTaskBytes \* step.Count/size := (idleTaskBytes + 200) * step.Count/' pkg/scheduler TestTasksOfJobLargerThanOneRowStart
 guard jobs-beyond-the-memory-are-refused pkg/controller/job_memory.go 's/<= m.budget \{/<= m.budget || true {/' pkg/controller TestJobsBeyondTheMemoryAreRefused
 guard job-too-large-for-the-memory pkg/controller/jobs.go 's/cmp.Or\(spec.CheckSize\(\), e.cache.memory.check\(&spec\)\)/cmp.Or(spec.CheckSize())/' pkg/controller TestJobThatCanNeverBeHeldIsInvalid
 guard memory-of-removed-jobs-is-free pkg/controller/job_memory.go 's/m.held.Add\(-v.counted\)//' pkg/controller TestMemoryOfRemovedJobsIsFree
