Make the next owner of tests in one place

Ten tests wrote the same configuration of the owner after the harness's one. No check changes. go test ./pkg/scheduler passes before and after.

--- a/pkg/scheduler/cell_harness_test.go
+++ b/pkg/scheduler/cell_harness_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// nextOwner returns the cell of the next owner, which knows nothing yet. The leases of the
+// former one end at leasesEnd.
+func nextOwner(t *testing.T, leasesEnd time.Time) *Cell {
+	t.Helper()
+	return NewCell(Config{
+		Epoch:           2,
+		Assert:          strictAsserter(t),
+		Lease:           testLease,
+		FormerLeasesEnd: leasesEnd,
+	})
+}
+
 // tickUntilIdle ticks the cell and commits its changes until there are none.
 func (h *cellHarness) tickUntilIdle() {
 	for {
--- a/pkg/scheduler/cell_test.go
+++ b/pkg/scheduler/cell_test.go
@@ -14,12 +14,7 @@
 	h.add("j", "checks", newStep(4, 500))
 	h.cell.Tick(h.now, true)
 	commit, _ := h.cell.Commit()
-	next := NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now.Add(testLease),
-	})
+	next := nextOwner(t, h.now.Add(testLease))
 	next.SetQueues(testQueues())
 	next.Load(h.now, h.cell.jobs["j"].spec, commit.Rows[0].Progress)
 	h.cell = next
--- a/pkg/scheduler/checkpoint_row_test.go
+++ b/pkg/scheduler/checkpoint_row_test.go
@@ -60,12 +60,7 @@
 	h.tickUntilIdle()
 	assert.Equal(t, j.placed, 203)
 	p := assertRow(t, j)
-	next := NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now,
-	})
+	next := nextOwner(t, h.now)
 	next.Load(h.now, j.spec, p)
 	left := 0
 	for i, task := range next.jobs["j"].tasks() {
@@ -122,12 +117,7 @@
 	j.tasks()[0].setCheckpoint(long)
 	h.tickUntilIdle()
 	assert.Assert(t, j.placed > 3 && j.placed < 3203, "%d tasks are placed", j.placed)
-	next := NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now,
-	})
+	next := nextOwner(t, h.now)
 	next.Load(h.now, j.spec, assertRow(t, j))
 	for _, task := range next.jobs["j"].tasks()[:gang.Count] {
 		assert.Assert(t, task.checkpoint == long, "%s has a checkpoint of %d bytes", task.name(), len(task.checkpoint))
--- a/pkg/scheduler/copies_test.go
+++ b/pkg/scheduler/copies_test.go
@@ -126,12 +126,7 @@
 
 // replaceOwner replaces the cell by one that knows only the committed rows.
 func (h *copyHarness) replaceOwner(spec Spec) {
-	h.cell = NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(h.t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now.Add(testLease),
-	})
+	h.cell = nextOwner(h.t, h.now.Add(testLease))
 	queues := testQueues()
 	queues.List[0].Terms.MaxFailures = 3
 	h.cell.SetQueues(queues)
--- a/pkg/scheduler/crash_test.go
+++ b/pkg/scheduler/crash_test.go
@@ -94,12 +94,7 @@
 	p := h.cell.jobs["j"].progress()
 	assert.DeepEqual(t, p.Crashes, []byte{1, 0, 0})
 	assert.DeepEqual(t, p.Suspicions, []byte{sharedSuspicion, 0, 0})
-	next := NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now,
-	})
+	next := nextOwner(t, h.now)
 	next.Load(h.now, h.cell.jobs["j"].spec, p)
 	assert.Equal(t, next.taskByName("j.0.0.0").record, crashRecord{
 		crashes:   1,
--- a/pkg/scheduler/given_up_end_test.go
+++ b/pkg/scheduler/given_up_end_test.go
@@ -55,12 +55,7 @@
 	t.Run("of the next owner", func(t *testing.T) {
 		h, silent := newGivenUpHarness(t)
 		j := h.cell.jobs["j"]
-		h.cell = NewCell(Config{
-			Epoch:           2,
-			Assert:          strictAsserter(t),
-			Lease:           testLease,
-			FormerLeasesEnd: h.now.Add(testLease),
-		})
+		h.cell = nextOwner(t, h.now.Add(testLease))
 		h.cell.SetQueues(testQueues())
 		h.cell.Load(h.now, j.spec, j.progress())
 		assertNotAcked(t, h, silent)
--- a/pkg/scheduler/lapse_test.go
+++ b/pkg/scheduler/lapse_test.go
@@ -160,12 +160,7 @@
 		agent = h.start("j.0.0.0")
 		r = h.cutOff(agent)
 		former := h.cell.jobs["j"]
-		h.cell = NewCell(Config{
-			Epoch:           2,
-			Assert:          strictAsserter(t),
-			Lease:           testLease,
-			FormerLeasesEnd: h.now,
-		})
+		h.cell = nextOwner(t, h.now)
 		h.cell.SetQueues(testQueues())
 		h.cell.Load(h.now, former.spec, former.progress())
 		assert.Equal(t, h.cell.taskByName("j.0.0.0").presumedRecord(), crashRecord{
--- a/pkg/scheduler/late_crash_test.go
+++ b/pkg/scheduler/late_crash_test.go
@@ -113,12 +113,7 @@
 	assert.NilError(t, err)
 	var p Progress
 	assert.NilError(t, cbor.Unmarshal(data, &p))
-	next := NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now,
-	})
+	next := nextOwner(t, h.now)
 	next.Load(h.now, h.cell.jobs["j"].spec, p)
 	restart(next)
 	restart(next)
--- a/pkg/scheduler/occurrence_test.go
+++ b/pkg/scheduler/occurrence_test.go
@@ -61,12 +61,7 @@
 	row := h.cell.jobs["j"].progress()
 	assert.Equal(t, len(row.Tasks), 2, "the row lists what was due")
 
-	h.cell = NewCell(Config{
-		Epoch:           2,
-		Assert:          strictAsserter(t),
-		Lease:           testLease,
-		FormerLeasesEnd: h.now,
-	})
+	h.cell = nextOwner(t, h.now)
 	h.cell.SetQueues(testQueues())
 	h.cell.Load(h.now, spec, row)
 	h.runners["x0"].Epoch = 2
--- a/pkg/scheduler/set_back_clock_test.go
+++ b/pkg/scheduler/set_back_clock_test.go
@@ -44,12 +44,7 @@
 		h := requested(t)
 		progress := h.cell.jobs["j"].progress()
 		spec := h.cell.jobs["j"].spec
-		h.cell = NewCell(Config{
-			Epoch:           2,
-			Assert:          strictAsserter(t),
-			Lease:           testLease,
-			FormerLeasesEnd: h.now.Add(testLease),
-		})
+		h.cell = nextOwner(t, h.now.Add(testLease))
 		h.cell.SetQueues(testQueues())
 		h.cell.Load(h.now, spec, progress)
 		assertTaken(t, h)
