Keep a runner quiet for two seconds around a suspect, not five

Cause: the quiet trial was longer than most runs that it protects. Change: maxQuietTrial is 2 s. The test of the quiet trial waits until the other suspects have been tried.

--- a/pkg/scheduler/late_crash_test.go
+++ b/pkg/scheduler/late_crash_test.go
@@ -70,6 +70,8 @@
 		assert.Assert(t, crashLate(h, "j.0.0.0", fmt.Sprintf("beside%d", i)))
 		h.advance(suspectDelay)
 	}
+	// The tasks beside it are suspects as well, and each is tried alone first.
+	h.advance(time.Second)
 	h.start("j.0.0.0")
 	s := h.cell.taskByName("j.0.0.0").runner
 	h.advance(lateCrash)
--- a/pkg/scheduler/trial.go
+++ b/pkg/scheduler/trial.go
@@ -17,7 +17,7 @@
 	// beside it until its run has ended, or maxQuietTrial is over: if it is sound, that run
 	// is not lost to the start of another task.
 	quietCrashes  = 3
-	maxQuietTrial = 5 * time.Second
+	maxQuietTrial = 2 * time.Second
 	// settledUptime is how long a runner must be up for its crash to say more of the task
 	// than of the runner, which may crash again for the reason for which it did before.
 	settledUptime = 15 * time.Second
--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -168,7 +168,7 @@
 guard counted-crash-is-stored pkg/scheduler/loading.go 's/p.loadCountedRuns\(tasks\)//' pkg/scheduler TestCrashIsCountedOnceAcrossOwners
 guard seconds-of-work-clear-no-record pkg/scheduler/crash_record.go 's/t.provesTask\(now\) \{/t.provesRunner(now) {/' pkg/scheduler TestLongRunningTaskThatCrashesRunnersLateIsGivenUp
 guard many-crashes-need-quiet pkg/scheduler/trial.go 's/\(t.needsQuiet\(\) \|\| !t.survivedStart\(\)\)/!t.survivedStart()/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
-guard quiet-trial-ends pkg/scheduler/trial.go 's/maxQuietTrial = 5 \* time.Second/maxQuietTrial = time.Hour/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
+guard quiet-trial-ends pkg/scheduler/trial.go 's/maxQuietTrial = 2 \* time.Second/maxQuietTrial = time.Hour/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
 guard many-crashes-need-settled-runner pkg/scheduler/trial.go 's/e.unsettled = 1/e.unsettled = 0/' pkg/scheduler TestTaskThatLostManyRunnersIsTriedOnSettledRunner
 guard end-of-lease-counts-as-crash pkg/scheduler/leases.go 's/^\tc.recordLapse\(now, s, lost\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
 guard lapse-is-no-proof-of-crash pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/t.record.crashes++; t.record.suspicion += added.suspicion/' pkg/scheduler TestTaskIsNotGivenUpForRunnersThatWereCutOff
