Cut off the runner in the test of a delayed leave notice

Cause: a notice counts only once calls stay unanswered too, since an earlier change. The test left none unanswered, so it passed without the check that the known incarnation drains. Ruled out: that the check has become needless: with a runner that is cut off right after the notice, its removal marks a sound one as left. Change: the test goes on to leave calls unanswered; what it demanded stays.

--- a/pkg/supervisor/leave_notice_test.go
+++ b/pkg/supervisor/leave_notice_test.go
@@ -19,6 +19,15 @@
 	h.core.RunnerLeft(h.now, "i-1")
 	h.advance(reportInterval)
 	assert.Assert(t, !h.reports[len(h.reports)-1].Runner.Left)
+	// It is cut off, which is no reason to take it for gone either.
+	for range maxUnansweredRenewals + 1 {
+		if h.countOpen(isRenewal) > 0 {
+			h.core.LeaseRenewed(h.now, *h.takeAction(isRenewal).Renew, Listing{}, errors.New("connection refused"))
+		}
+		h.advance(renewBackoff)
+	}
+	h.advance(reportInterval)
+	assert.Assert(t, !h.reports[len(h.reports)-1].Runner.Left)
 }
 
 // Guards against a task that runs twice: the notice of an earlier incarnation arrived while
