Follow the recorded lapse in two guards

Callers saw: nothing; the scratch copies of lapse-is-no-proof-of-crash and lapse-is-no-proof-under-faults did not build. Cause: their expression used a variable that went with the change that records every lapse. Ruled out: a check that no longer holds: with the variable back both are red. Before: scripts/red-first.sh with either name: broken.

--- a/scripts/red-first.sh
+++ b/scripts/red-first.sh
@@ -171,8 +171,8 @@
 guard quiet-trial-ends pkg/scheduler/trial.go 's/maxQuietTrial = 2 \* time.Second/maxQuietTrial = time.Hour/' pkg/scheduler TestNoTaskStartsBesideOneThatLostManyRunners
 guard many-crashes-need-settled-runner pkg/scheduler/trial.go 's/e.unsettled = 1/e.unsettled = 0/' pkg/scheduler TestTaskThatLostManyRunnersIsTriedOnSettledRunner
 guard end-of-lease-counts-as-crash pkg/scheduler/leases.go 's/^\tc.recordLapse\(now, s, lost\)//' pkg/scheduler TestEndOfLeaseCountsAsCrashUntilRefuted
-guard lapse-is-no-proof-of-crash pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/t.record.crashes++; t.record.suspicion += added.suspicion/' pkg/scheduler TestTaskIsNotGivenUpForRunnersThatWereCutOff
-guard lapse-is-no-proof-under-faults pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/t.record.crashes++; t.record.suspicion += added.suspicion/' $simulation TestSoundTasksSurviveCutsOfTheirRunners
+guard lapse-is-no-proof-of-crash pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/added := t.crashEvidence(n); t.record.crashes++; t.record.suspicion += added.suspicion/' pkg/scheduler TestTaskIsNotGivenUpForRunnersThatWereCutOff
+guard lapse-is-no-proof-under-faults pkg/scheduler/lapse.go 's/^\t+c.lapses.add\(now, s.key.*/added := t.crashEvidence(n); t.record.crashes++; t.record.suspicion += added.suspicion/' $simulation TestSoundTasksSurviveCutsOfTheirRunners
 guard proven-lapse-counts pkg/scheduler/lost_runner.go 's/^\tc.proveLapses\(now, s\)//' pkg/scheduler TestTaskIsGivenUpOnceLapsesAreProven
 guard lapses-bound-starts pkg/scheduler/placing.go 's/ \&\& !t.awaitsProof\(\)//' pkg/scheduler TestTaskWaitsWhileItsLossesAreUnexplained
 guard lapses-bound-starts-under-faults pkg/scheduler/placing.go 's/ \&\& !t.awaitsProof\(\)//' $simulation TestTasksThatCrashRunnersForVeryLongAreGivenUp
